--- /dev/null
+++ b/src/connection/http_client.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "connection/asio.hpp"
+#include "connection/async_signal.hpp"
+#include "connection/http_message.hpp"
+#include "process/clock.hpp"
+#include "process/ordered_mutex.hpp"
+
+namespace jacinthvane {
+
+// Sends HTTP/1.1 requests over kept-alive connections, at most a stated number to each address. A connection
+// that fails or passes a deadline is closed and never reused, so a connection that went silent harms one call
+// only.
+class http_client {
+public:
+    http_client(asio::io_context& context, std::size_t max_connections_per_address);
+    ~http_client();
+
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    // Sends the request to "address:port". Errors: upstream_unreachable (known not to have been sent),
+    // upstream_lost (may have been acted on). Waits for a free connection until the deadline.
+    // The start of the write can be refused by write_before: a request whose connection is ready only later
+    // than that is not sent (upstream_unreachable).
+    awaitable<absl::StatusOr<http_response>> fetch(std::string address, http_request request,
+                                                   time_point deadline,
+                                                   time_point write_before = time_point::max());
+
+private:
+    struct pooled_connection;
+    struct address_pool;
+
+    awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>> acquire(std::string address,
+                                                                          time_point deadline);
+    static awaitable<absl::StatusOr<http_response>> exchange(pooled_connection& connection,
+                                                             asio::ip::tcp::endpoint endpoint,
+                                                             std::string address, http_request request,
+                                                             time_point deadline, time_point write_before);
+    void release(const std::string& address, std::unique_ptr<pooled_connection> connection);
+
+    asio::io_context& context_;
+    const std::size_t max_connections_;
+    ordered_mutex mutex_{lock_rank::connections};
+    async_signal released_;
+    std::map<std::string, address_pool> pools_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/connection/http_message.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace jacinthvane {
+
+// Header names compare without regard to case, as HTTP asks.
+struct header_name_less {
+    using is_transparent = void;
+    bool operator()(std::string_view left, std::string_view right) const;
+};
+
+using header_map = std::map<std::string, std::string, header_name_less>;
+
+// One HTTP request, free of any library type, so that handlers do not depend on the HTTP library.
+struct http_request {
+    std::string method = "GET";
+    std::string target = "/";
+    header_map headers;
+    std::string body;
+
+    bool operator==(const http_request&) const = default;
+
+    // Returns the value of a header, or an empty view if it is absent.
+    std::string_view get_header(std::string_view name) const;
+    // Returns the target without its query.
+    std::string_view get_path() const;
+    // Returns the decoded value of a query parameter, or an empty string if it is absent.
+    std::string get_query(std::string_view name) const;
+};
+
+struct http_response {
+    int status = 200;
+    header_map headers;
+    std::string body;
+
+    bool operator==(const http_response&) const = default;
+
+    std::string_view get_header(std::string_view name) const;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/error_kind.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+#include "absl/status/status.h"
+
+namespace jacinthvane {
+
+// What is known about whether a request ran. Every answer to a caller carries one of these.
+enum class run_knowledge { not_run, may_have_run, ran };
+
+std::string_view get_name(run_knowledge run);
+
+// The closed list of errors that the system reports. get_answer says how each one is answered.
+enum class error_kind {
+    bad_request,
+    body_too_large,
+    unauthorized,
+    forbidden,
+    not_found,
+    version_conflict,
+    key_reused,
+    duplicate_in_progress,
+    answer_not_kept,
+    quota_exceeded,
+    overloaded,
+    deadline_unreachable,
+    deadline_exceeded,
+    never_fits,
+    no_capacity,
+    not_ready,
+    shutting_down,
+    store_unavailable,
+    store_outcome_unknown,
+    upstream_leaving,
+    upstream_too_late,
+    upstream_failed,
+    upstream_unreachable,
+    upstream_lost,
+    peer_unreachable,
+    peer_lost,
+    bad_configuration,
+    internal,
+};
+
+// How an error kind is answered on every front end.
+struct error_answer {
+    error_kind kind;
+    std::string_view name;
+    int http_status;
+    run_knowledge run;
+    // Milliseconds after which a new attempt makes sense; 0 means that a repeat will not help.
+    std::int64_t retry_after_ms;
+    int exit_code;
+    std::string_view text;
+};
+
+const error_answer& get_answer(error_kind kind);
+
+std::span<const error_answer> get_all_answers();
+
+// Makes a status of the given kind. The message says what failed and with which value. The knowledge of the
+// run is that of the table unless one is given.
+absl::Status make_error(error_kind kind, std::string_view message);
+absl::Status make_error(error_kind kind, std::string_view message, run_knowledge run);
+
+// Returns the kind of a status made by make_error; any other status counts as internal.
+error_kind get_error_kind(const absl::Status& status);
+
+run_knowledge get_run_knowledge(const absl::Status& status);
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/lock_order.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+namespace jacinthvane {
+
+// Every lock of the process, in the order in which a thread may take them: a thread that holds a lock may
+// take only locks listed further down. ordered_mutex checks this in debug builds.
+enum class lock_rank : int {
+    fleet_config = 10,
+    members = 20,
+    ownership = 30,
+    admission = 40,
+    shard_tables = 50,
+    ledger = 60,
+    interference = 70,
+    ejection = 80,
+    quota = 90,
+    link_budget = 100,
+    connections = 110,
+    pending_answers = 120,
+    store = 130,
+    standin = 140,
+    signal = 200,
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/strong_id.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <compare>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace jacinthvane {
+
+// An identifier of one kind of thing. The tag keeps identifiers of different kinds apart at compile time.
+template <typename Tag>
+class strong_id {
+public:
+    strong_id() = default;
+    explicit strong_id(std::string value) : value_(std::move(value)) {}
+
+    const std::string& get() const { return value_; }
+    bool is_empty() const { return value_.empty(); }
+
+    auto operator<=>(const strong_id&) const = default;
+
+private:
+    std::string value_;
+};
+
+}  // namespace jacinthvane
+
+template <typename Tag>
+struct std::hash<jacinthvane::strong_id<Tag>> {
+    std::size_t operator()(const jacinthvane::strong_id<Tag>& id) const {
+        return std::hash<std::string>{}(id.get());
+    }
+};
--- /dev/null
+++ b/standin/main.cpp
@@ -0,0 +1,6 @@
+#include <cstdio>
+
+int main() {
+    std::puts("jacinthvane_standin 0.1.0");
+    return 0;
+}
