Add the store client, its budget and the store stand-in

Cause: nothing spoke the store's HTTP interface, and no store with faults existed to test against.

Change: http_store and store_client map every failure to the kinds that their header lists; a write that broke after it was sent, or whose answer is unusable, is store_outcome_unknown. store_budget limits the process's calls per second and counts them by kind; calls for leases are never held back, since a late renewal ends the term. backoff_policy is pure and seeded. faulty_store holds the fault rules for the stand-in and for tests without sockets, so it is a third alternative of the store variant. http_server closes a connection without an answer when a handler returns status 0; the stand-in loses answers that way.

--- a/src/connection/http_message.hpp
+++ b/src/connection/http_message.hpp
@@ -31,6 +31,10 @@
     std::string get_query(std::string_view name) const;
 };
 
+// A handler that answers with this status makes the server close the connection without an answer. The
+// stand-ins use it to lose answers.
+constexpr int dropped_answer_status = 0;
+
 struct http_response {
     int status = 200;
     header_map headers;
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -201,6 +201,11 @@
                 response.headers["X-Run"] = std::string(get_name(run_knowledge::may_have_run));
             }
             keep_alive = keep_alive && !state->is_stopping;
+            if (response.status == dropped_answer_status) {
+                --state->requests_in_progress;
+                state->request_finished.notify_all();
+                co_return;
+            }
         }
         const auto message = to_beast(std::move(response), keep_alive);
         stream.expires_after(state->limits.io_timeout);
--- a/src/connection/store_client.hpp
+++ b/src/connection/store_client.hpp
@@ -8,8 +8,10 @@
 
 #include "absl/status/statusor.h"
 #include "connection/asio.hpp"
+#include "connection/faulty_store.hpp"
 #include "connection/http_client.hpp"
 #include "connection/memory_store.hpp"
+#include "connection/store_budget.hpp"
 #include "connection/store_types.hpp"
 #include "process/clock.hpp"
 
@@ -36,6 +38,8 @@
 private:
     std::string address_;
     http_client client_;
+    // Waiting watches keep their connections busy, so they must not use up those of the other calls.
+    http_client watch_client_;
 };
 
 // The store as the rest of the process uses it. Errors of all calls: not_found, version_conflict, overloaded
@@ -43,9 +47,12 @@
 // (a write that may or may not have taken effect).
 class store_client {
 public:
-    using backend = std::variant<std::shared_ptr<http_store>, std::shared_ptr<memory_store>>;
+    using backend = std::variant<std::shared_ptr<http_store>, std::shared_ptr<memory_store>,
+                                 std::shared_ptr<faulty_store>>;
 
-    explicit store_client(backend store) : backend_(std::move(store)) {}
+    // Without a budget, calls are neither limited nor counted.
+    explicit store_client(backend store, std::shared_ptr<store_budget> budget = nullptr)
+        : backend_(std::move(store)), budget_(std::move(budget)) {}
 
     awaitable<absl::StatusOr<stored_value>> get(std::string path, time_point deadline);
     awaitable<absl::StatusOr<std::uint64_t>> compare_and_swap(std::string path,
@@ -63,7 +70,11 @@
                                                   time_point deadline);
 
 private:
+    // Waits for the call's place in the budget; refuses with overloaded if that place is after the deadline.
+    awaitable<absl::Status> take_place(store_call call, time_point deadline);
+
     backend backend_;
+    std::shared_ptr<store_budget> budget_;
 };
 
 }  // namespace jacinthvane
