Add the placement policies and the index of upstreams with room

Change: candidate_index groups upstreams by levels of free processors, memory and accelerators and offers random samples with room; choose() takes a std::variant of random, least committed, two choices and interference-aware. Decided here: least committed looks at up to 128 samples, which is a full scan at the size of both customers; a sample scans at most 256 members of groups at the edge of the size when random picks found none.

--- /dev/null
+++ b/src/process/candidate_index.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "process/ids.hpp"
+#include "process/interference_snapshot.hpp"
+#include "process/random_source.hpp"
+#include "process/resource_vector.hpp"
+#include "process/task_types.hpp"
+
+namespace jacinthvane {
+
+// Tasks of one kind that run on an upstream.
+struct neighbour_group {
+    kind_index kind = 0;
+    task_class work_class = task_class::urgent;
+    std::uint16_t count = 0;
+
+    bool operator==(const neighbour_group&) const = default;
+};
+
+// What a placement needs to know of one upstream. limit is what its owner may commit.
+struct candidate {
+    upstream_id upstream;
+    rack_id rack;
+    resource_vector limit;
+    resource_vector committed;
+    std::vector<neighbour_group> neighbours;
+    // Slowdown (natural logarithm) reported of late that the pairs of kinds do not explain.
+    double recent_excess = 0;
+
+    resource_vector get_free() const { return limit - committed; }
+    bool operator==(const candidate&) const = default;
+};
+
+// Upstreams grouped by what they have free, so that a decision looks at a few of those that have room and
+// never at all of them. Not thread-safe: it belongs to the table that holds the commitments and is used
+// under that table's lock.
+class candidate_index {
+public:
+    // Adds the upstream or replaces what was known of it.
+    void update(candidate value);
+    void remove(const upstream_id& upstream);
+
+    const candidate* find(const upstream_id& upstream) const;
+    std::size_t get_count() const { return positions_.size(); }
+
+    // Appends up to count different upstreams that have room for the size, each equally likely. The pointers
+    // are valid until the next change. An upstream with room can be missed only when more than
+    // max_scanned upstreams of the groups at the edge of the size have none.
+    void sample(const resource_vector& size, std::size_t count, random_source& random,
+                std::vector<const candidate*>& result) const;
+
+    // Returns true if the size would fit on some upstream that had nothing committed.
+    bool is_ever_fitting(const resource_vector& size) const;
+
+    // Keeps a decision below 10 us when nearly everything is full.
+    static constexpr std::size_t max_scanned = 256;
+
+private:
+    static constexpr std::size_t level_count = 8;
+    static constexpr std::size_t accelerator_level_count = 4;
+    static constexpr std::size_t group_count = level_count * level_count * accelerator_level_count;
+    static constexpr std::uint32_t no_group = group_count;
+
+    struct entry {
+        candidate value;
+        std::uint32_t group = no_group;
+        std::uint32_t place = 0;
+    };
+
+    static std::uint32_t get_group(const resource_vector& free);
+    void join_group(std::uint32_t position);
+    void leave_group(std::uint32_t position);
+
+    std::vector<entry> entries_;
+    std::vector<std::uint32_t> free_positions_;
+    std::unordered_map<upstream_id, std::uint32_t> positions_;
+    std::array<std::vector<std::uint32_t>, group_count> groups_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/interference_snapshot.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace jacinthvane {
+
+// Position of a task kind in the interference model. Decisions use it in place of the name, which would
+// have to be hashed for each neighbour of each candidate.
+using kind_index = std::uint16_t;
+
+// What is known of one ordered pair of kinds.
+struct pair_effect {
+    // Natural logarithm of the factor by which one neighbour slows the task down.
+    float effect = 0;
+    // Number of recent reports behind the effect, decayed with their age.
+    float weight = 0;
+
+    bool operator==(const pair_effect&) const = default;
+};
+
+// The learnt effects at one moment. It is replaced as a whole, so readers need no lock.
+class interference_snapshot {
+public:
+    interference_snapshot() = default;
+    // pairs holds kind_count rows of kind_count entries; the row is the kind that is slowed down.
+    interference_snapshot(std::size_t kind_count, std::vector<pair_effect> pairs)
+        : kind_count_(kind_count), pairs_(std::move(pairs)) {}
+
+    // Returns the effect of one neighbour on the task. A kind that the model learnt of after this snapshot
+    // has no effect yet.
+    double get_effect(kind_index task, kind_index neighbour) const {
+        return is_known(task, neighbour) ? pairs_[task * kind_count_ + neighbour].effect : 0.0;
+    }
+
+    double get_weight(kind_index task, kind_index neighbour) const {
+        return is_known(task, neighbour) ? pairs_[task * kind_count_ + neighbour].weight : 0.0;
+    }
+
+    std::size_t get_kind_count() const { return kind_count_; }
+
+    bool operator==(const interference_snapshot&) const = default;
+
+private:
+    bool is_known(kind_index task, kind_index neighbour) const {
+        return task < kind_count_ && neighbour < kind_count_;
+    }
+
+    std::size_t kind_count_ = 0;
+    std::vector<pair_effect> pairs_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/request/placement.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "process/candidate_index.hpp"
+#include "process/interference_snapshot.hpp"
+#include "process/random_source.hpp"
+#include "process/task_types.hpp"
+
+namespace jacinthvane {
+
+// What the outcome counts for; taken from the fleet configuration.
+struct placement_weights {
+    // Slowdown of urgent tasks.
+    double tail = 4;
+    // Memory pressure, which ends in evictions.
+    double evictions = 1;
+    // Slowdown of batch tasks.
+    double throughput = 1;
+
+    bool operator==(const placement_weights&) const = default;
+};
+
+// Any upstream with room.
+struct random_placement {
+    bool operator==(const random_placement&) const = default;
+};
+
+// The upstream with the smallest committed share among many samples.
+struct least_committed_placement {
+    std::size_t samples = 128;
+
+    bool operator==(const least_committed_placement&) const = default;
+};
+
+// The less committed one of two samples.
+struct two_choices_placement {
+    bool operator==(const two_choices_placement&) const = default;
+};
+
+// The sample with the lowest predicted loss for the new task and for the tasks that already run there.
+struct interference_aware_placement {
+    placement_weights weights{};
+    std::size_t samples = 16;
+    // Weight of the committed share against a slowdown by a factor of e.
+    double committed = 0.5;
+    // Share of batch placements that ignore the score, so that pairs never seen together are measured.
+    double exploration = 0.02;
+    bool is_own_effect_counted = true;
+    bool is_neighbour_effect_counted = true;
+    bool is_recent_excess_counted = true;
+
+    bool operator==(const interference_aware_placement&) const = default;
+};
+
+using placement_policy = std::variant<random_placement, least_committed_placement, two_choices_placement,
+                                      interference_aware_placement>;
+
+struct placement_request {
+    kind_index kind = 0;
+    task_class work_class = task_class::urgent;
+    resource_vector size;
+
+    bool operator==(const placement_request&) const = default;
+};
+
+struct placement_choice {
+    upstream_id upstream;
+    // Predicted loss; only comparable between candidates of the same decision.
+    double score = 0;
+
+    bool operator==(const placement_choice&) const = default;
+};
+
+// Chooses an upstream with room, or none if no sampled upstream has any. The choice holds for the index as it
+// was read: the caller commits the size under the same lock.
+std::optional<placement_choice> choose(const placement_policy& policy, const candidate_index& index,
+                                       const interference_snapshot& interference,
+                                       const placement_request& request, random_source& random);
+
+}  // namespace jacinthvane
