--- /dev/null
+++ b/tests/retry_policy_test.cpp
@@ -0,0 +1,87 @@
+#include "request/retry_policy.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace jacinthvane;
+using std::chrono::milliseconds;
+
+namespace {
+
+const time_point start = time_point(std::chrono::hours(1));
+
+retry_question make_question(error_kind error, run_knowledge run, bool is_idempotent) {
+    return {.error = error,
+            .run = run,
+            .is_idempotent = is_idempotent,
+            .deadline = start + milliseconds(5000),
+            .expected_run = milliseconds(100)};
+}
+
+bool is_granted(const retry_decision& decision) {
+    return std::holds_alternative<retry_attempt>(decision);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(retry_policy)
+
+// Guards against a non-idempotent request that runs twice (I6): it is repeated only when it is known not to
+// have run.
+BOOST_AUTO_TEST_CASE(non_idempotent_request_is_repeated_only_if_not_run) {
+    for (const auto& answer : get_all_answers()) {
+        for (const auto run : {run_knowledge::may_have_run, run_knowledge::ran}) {
+            jacinthvane::retry_policy policy;
+            BOOST_TEST(!is_granted(policy.decide(make_question(answer.kind, run, false), start)));
+        }
+    }
+    jacinthvane::retry_policy policy;
+    BOOST_TEST(is_granted(
+        policy.decide(make_question(error_kind::upstream_too_late, run_knowledge::not_run, false), start)));
+    BOOST_TEST(is_granted(
+        policy.decide(make_question(error_kind::upstream_lost, run_knowledge::may_have_run, true), start)));
+}
+
+// Guards against retries that multiply the load when everything fails: at most 10% of requests plus the
+// burst.
+BOOST_AUTO_TEST_CASE(retries_stay_within_the_budget) {
+    const retry_settings settings;
+    jacinthvane::retry_policy policy(settings);
+    int granted = 0;
+    const auto question = make_question(error_kind::upstream_failed, run_knowledge::ran, true);
+    for (int number = 0; number < 10000; ++number) {
+        policy.record_request();
+        granted += is_granted(policy.decide(question, start)) ? 1 : 0;
+        granted += is_granted(policy.decide(question, start)) ? 1 : 0;
+    }
+    BOOST_TEST(granted <= 1000 + settings.burst);
+    BOOST_TEST(granted >= 990);
+}
+
+// Guards against attempts that cannot be answered in time, attempts without end, and repeats of a request
+// that will be refused again.
+BOOST_AUTO_TEST_CASE(useless_attempts_are_refused) {
+    jacinthvane::retry_policy policy;
+    auto question = make_question(error_kind::upstream_failed, run_knowledge::ran, true);
+    question.deadline = start + milliseconds(110);
+    BOOST_TEST((std::get<retry_refusal>(policy.decide(question, start)) == retry_refusal::no_time));
+    question = make_question(error_kind::upstream_failed, run_knowledge::ran, true);
+    question.attempts = 3;
+    BOOST_TEST((std::get<retry_refusal>(policy.decide(question, start)) == retry_refusal::too_many_attempts));
+    question = make_question(error_kind::bad_request, run_knowledge::not_run, true);
+    BOOST_TEST((std::get<retry_refusal>(policy.decide(question, start)) == retry_refusal::not_useful));
+}
+
+// Guards against a hop that works on after its caller has given up.
+BOOST_AUTO_TEST_CASE(deadline_shrinks_with_each_hop) {
+    const jacinthvane::retry_policy policy;
+    auto deadline = start + milliseconds(200);
+    for (int hop = 0; hop < 5; ++hop) {
+        const auto next = policy.shrink_deadline(deadline, start, milliseconds(12));
+        BOOST_TEST((next < deadline));
+        BOOST_TEST((next >= start));
+        deadline = next;
+    }
+    BOOST_TEST((policy.shrink_deadline(start - milliseconds(5), start, milliseconds(1)) <= start));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
