Connect entry processes by multiplexed links

Cause: requests, claims and jobs have to reach the process that owns the upstream or homes the shard, over connections that can go silent for good. Change: messages as two variants; cereal archives that write short numbers and check lengths before they allocate; frames of at most 16 KB that interleave; one link to each address with an urgent and a bulk lane, a heartbeat, replacement after silence, and calls that end as peer_unreachable (not sent) or peer_lost; a server that bounds its calls; a token bucket for the link between regions. Decided: a handshake with a nonce from each side makes a key for each link and direction, and every frame is signed with it and its sequence number, because a handshake alone accepts injected frames and signatures without nonces accept old ones again. Idle links close after 10 s, since heartbeats of a full mesh would exceed 5 KB/s. A call is registered before its link is open, since an idle link could close under a waiting call otherwise.

--- /dev/null
+++ b/src/connection/peer_message.hpp
@@ -0,0 +1,241 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "process/clock.hpp"
+#include "process/error_kind.hpp"
+#include "process/ids.hpp"
+#include "process/task_types.hpp"
+
+namespace jacinthvane {
+
+// Messages of a lane are sent in the order in which they were given; the urgent lane goes first.
+enum class peer_lane { urgent, bulk };
+
+// State of a task or job as the process that drives it knows it.
+enum class work_state {
+    unknown,
+    queued,
+    running,
+    checkpointed,
+    finished,
+    failed,
+    stopped,
+    cancelled,
+    parked
+};
+
+// Runs a task on an upstream that the receiver owns and answers with the task's own answer.
+struct dispatch_request {
+    task_start start;
+    // Number of entry processes that have passed the request on; bounds loops between stale tables.
+    std::uint32_t hops = 0;
+    // Set for a non-idempotent request, whose key the sender has claimed.
+    std::optional<idempotency_key> key;
+
+    bool operator==(const dispatch_request&) const = default;
+};
+
+struct dispatch_reply {
+    task_answer answer;
+    upstream_id upstream;
+
+    bool operator==(const dispatch_reply&) const = default;
+};
+
+// Asks the home of a shard for the right to run a non-idempotent request.
+struct claim_key_request {
+    std::uint32_t shard = 0;
+    team_id team;
+    idempotency_key key;
+    std::string digest;
+    process_id claimant;
+    // The home waits for the settlement of a claim in progress until then.
+    time_point deadline;
+
+    bool operator==(const claim_key_request&) const = default;
+};
+
+enum class claim_outcome { granted, settled, in_progress, claimant_gone };
+
+struct claim_key_reply {
+    claim_outcome outcome = claim_outcome::granted;
+    std::uint64_t generation = 1;
+    // The rest describes a settled key. An answer that was too large to keep is absent.
+    run_knowledge run = run_knowledge::not_run;
+    std::optional<task_answer> answer;
+
+    bool operator==(const claim_key_reply&) const = default;
+};
+
+struct settle_key_request {
+    std::uint32_t shard = 0;
+    team_id team;
+    idempotency_key key;
+    std::uint64_t generation = 1;
+    process_id claimant;
+    run_knowledge run = run_knowledge::not_run;
+    std::optional<task_answer> answer;
+
+    bool operator==(const settle_key_request&) const = default;
+};
+
+struct submit_job_request {
+    std::uint32_t shard = 0;
+    job_id job;
+    task_spec spec;
+    std::optional<idempotency_key> key;
+    std::string digest;
+    // Set if the job is of no use later than that.
+    std::optional<time_point> finish_by;
+    // The caller's deadline for the acceptance.
+    time_point deadline;
+
+    bool operator==(const submit_job_request&) const = default;
+};
+
+struct query_job_request {
+    job_id job;
+    team_id team;
+
+    bool operator==(const query_job_request&) const = default;
+};
+
+struct cancel_job_request {
+    job_id job;
+    team_id team;
+
+    bool operator==(const cancel_job_request&) const = default;
+};
+
+// Answers submit_job, query_job and cancel_job.
+struct job_reply {
+    job_id job;
+    work_state state = work_state::unknown;
+    std::uint64_t generation = 0;
+    upstream_id upstream;
+    run_knowledge run = run_knowledge::not_run;
+    // Why the job waits, failed or is parked.
+    std::string reason;
+    std::uint32_t evictions = 0;
+    std::uint32_t failures = 0;
+    std::optional<task_answer> answer;
+
+    bool operator==(const job_reply&) const = default;
+};
+
+// Starts a generation of a job on an upstream that the receiver owns; an empty upstream lets it choose.
+struct start_task_request {
+    task_start start;
+    upstream_id upstream;
+
+    bool operator==(const start_task_request&) const = default;
+};
+
+struct stop_task_request {
+    upstream_id upstream;
+    task_id task;
+    std::uint64_t generation = 1;
+
+    bool operator==(const stop_task_request&) const = default;
+};
+
+struct checkpoint_task_request {
+    upstream_id upstream;
+    task_id task;
+    std::uint64_t generation = 1;
+
+    bool operator==(const checkpoint_task_request&) const = default;
+};
+
+struct query_task_request {
+    upstream_id upstream;
+    task_id task;
+    std::uint64_t generation = 1;
+
+    bool operator==(const query_task_request&) const = default;
+};
+
+// Answers start_task, stop_task, checkpoint_task and query_task.
+struct task_reply {
+    upstream_id upstream;
+    task_id task;
+    std::uint64_t generation = 1;
+    work_state state = work_state::unknown;
+    std::optional<std::string> checkpoint;
+    std::optional<task_answer> answer;
+
+    bool operator==(const task_reply&) const = default;
+};
+
+// Tells the home of a job what became of a generation.
+struct task_report_request {
+    job_id job;
+    upstream_id upstream;
+    task_id task;
+    std::uint64_t generation = 1;
+    work_state state = work_state::unknown;
+    std::optional<std::string> checkpoint;
+    std::optional<task_answer> answer;
+    std::string reason;
+
+    bool operator==(const task_report_request&) const = default;
+};
+
+// Answered with the newest version that the receiver has, if it is newer than the known one.
+struct fetch_config_request {
+    std::uint64_t known_version = 0;
+
+    bool operator==(const fetch_config_request&) const = default;
+};
+
+struct fetch_config_reply {
+    std::uint64_t version = 0;
+    // Empty if the version is not newer than the known one.
+    std::string bytes;
+
+    bool operator==(const fetch_config_reply&) const = default;
+};
+
+// Tells at once what gossip would tell within a few seconds.
+struct announce_leaving_request {
+    std::vector<upstream_id> upstreams;
+    std::vector<vm_id> entry_vms;
+    std::uint64_t version = 0;
+
+    bool operator==(const announce_leaving_request&) const = default;
+};
+
+// Answers settle_key, task_report and announce_leaving.
+struct accepted_reply {
+    bool operator==(const accepted_reply&) const = default;
+};
+
+struct error_reply {
+    error_kind kind = error_kind::internal;
+    std::string message;
+    run_knowledge run = run_knowledge::may_have_run;
+
+    bool operator==(const error_reply&) const = default;
+};
+
+using peer_request = std::variant<dispatch_request, claim_key_request, settle_key_request, submit_job_request,
+                                  query_job_request, cancel_job_request, start_task_request,
+                                  stop_task_request, checkpoint_task_request, query_task_request,
+                                  task_report_request, fetch_config_request, announce_leaving_request>;
+
+using peer_reply = std::variant<error_reply, accepted_reply, dispatch_reply, claim_key_reply, job_reply,
+                                task_reply, fetch_config_reply>;
+
+// Bodies of batch work, jobs and reports are bulk; all else is urgent.
+peer_lane get_lane(const peer_request& request);
+
+absl::Status to_status(const error_reply& reply);
+error_reply make_error_reply(const absl::Status& status);
+
+}  // namespace jacinthvane
