Learn slowdowns by ordered pairs of kinds from late reports

Change: a report is matched with what ran beside the task at the time it speaks of, from a history of 60 s for each upstream. The logarithm of a slowdown is a part for the kind plus a part for each neighbour; a report corrects the least known parts most. Weights fade by half in 120 s, and an estimate without weight is its prior. Memory is bounded by 128 kinds, 16,384 upstreams and 256 runs for each.

--- /dev/null
+++ b/src/process/interference_model.cpp
@@ -0,0 +1,230 @@
+#include "process/interference_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <mutex>
+
+namespace jacinthvane {
+
+namespace {
+
+constexpr kind_index other_urgent = 0;
+constexpr kind_index other_batch = 1;
+
+// Bounds one report (natural logarithm): a measured factor outside of [0.2, 20] says little more than the
+// bound.
+constexpr double lowest_measured = -1.6;
+constexpr double highest_measured = 3.0;
+
+// Variance of one report against that of an unknown part.
+constexpr double report_variance = 1.0;
+
+// An estimate with little weight is mostly its prior.
+double blend(double value, double weight, double prior, double prior_weight) {
+    return (value * weight + prior * prior_weight) / (weight + prior_weight);
+}
+
+double get_decay(time_point::duration age, std::chrono::milliseconds half_life) {
+    return age.count() <= 0 ? 1.0 : std::exp2(-std::chrono::duration<double>(age) / half_life);
+}
+
+}  // namespace
+
+interference_model::interference_model(interference_settings settings)
+    : settings_(settings),
+      classes_{task_class::urgent, task_class::batch},
+      pairs_(settings.kind_limit * settings.kind_limit),
+      bases_(settings.kind_limit),
+      snapshot_(std::make_shared<const interference_snapshot>()) {
+    std::lock_guard lock(mutex_);
+    publish({});
+}
+
+double interference_model::get_prior(kind_index neighbour) const {
+    return std::log(classes_[neighbour] == task_class::urgent ? settings_.urgent_prior
+                                                              : settings_.batch_prior);
+}
+
+kind_index interference_model::get_kind_index(const task_kind& kind, task_class work_class) {
+    std::lock_guard lock(mutex_);
+    const auto found = kinds_.find({kind, work_class});
+    if (found != kinds_.end()) {
+        return found->second;
+    }
+    if (classes_.size() >= settings_.kind_limit) {
+        return work_class == task_class::urgent ? other_urgent : other_batch;
+    }
+    const auto index = static_cast<kind_index>(classes_.size());
+    classes_.push_back(work_class);
+    kinds_.emplace(std::pair(kind, work_class), index);
+    for (std::size_t other = 0; other < classes_.size(); ++other) {
+        pairs_[other * settings_.kind_limit + index].value = get_prior(index);
+        pairs_[index * settings_.kind_limit + other].value = get_prior(static_cast<kind_index>(other));
+    }
+    publish(published_at_);
+    return index;
+}
+
+void interference_model::forget_old(upstream_history& history, time_point now) const {
+    std::erase_if(history.runs, [&](const run_record& run) {
+        return run.ended_at && *run.ended_at + settings_.history < now;
+    });
+    if (history.runs.size() >= settings_.history_limit) {
+        const auto oldest = std::min_element(history.runs.begin(), history.runs.end(),
+                                             [](const run_record& left, const run_record& right) {
+                                                 const bool is_left_running = !left.ended_at;
+                                                 const bool is_right_running = !right.ended_at;
+                                                 return std::pair(is_left_running, left.started_at) <
+                                                        std::pair(is_right_running, right.started_at);
+                                             });
+        history.runs.erase(oldest);
+    }
+}
+
+void interference_model::record_start(const upstream_id& upstream, const task_id& task, kind_index kind,
+                                      time_point now) {
+    std::lock_guard lock(mutex_);
+    if (histories_.size() >= settings_.upstream_limit && !histories_.contains(upstream)) {
+        return;
+    }
+    auto& history = histories_[upstream];
+    forget_old(history, now);
+    history.runs.push_back({.task = task, .kind = kind, .started_at = now, .ended_at = std::nullopt});
+}
+
+void interference_model::record_end(const upstream_id& upstream, const task_id& task, time_point now) {
+    std::lock_guard lock(mutex_);
+    const auto found = histories_.find(upstream);
+    if (found == histories_.end()) {
+        return;
+    }
+    for (auto& run : found->second.runs) {
+        if (!run.ended_at && run.task == task) {
+            run.ended_at = now;
+        }
+    }
+}
+
+void interference_model::remove_upstream(const upstream_id& upstream) {
+    std::lock_guard lock(mutex_);
+    histories_.erase(upstream);
+}
+
+bool interference_model::record_report(const slowdown_report& report, time_point now) {
+    std::lock_guard lock(mutex_);
+    const auto found = histories_.find(report.upstream);
+    const bool is_usable = report.slowdown > 0 && report.at + settings_.history >= now && report.at <= now;
+    if (found == histories_.end() || !is_usable) {
+        ++unmatched_;
+        return false;
+    }
+    const run_record* own = nullptr;
+    for (const auto& run : found->second.runs) {
+        if (run.task == report.task && run.is_running_at(report.at)) {
+            own = &run;
+        }
+    }
+    if (own == nullptr) {
+        ++unmatched_;
+        return false;
+    }
+    std::vector<std::pair<kind_index, double>> neighbours;
+    for (const auto& run : found->second.runs) {
+        if (&run == own || !run.is_running_at(report.at)) {
+            continue;
+        }
+        const auto known = std::find_if(neighbours.begin(), neighbours.end(),
+                                        [&](const auto& one) { return one.first == run.kind; });
+        if (known == neighbours.end()) {
+            neighbours.emplace_back(run.kind, 1.0);
+        } else {
+            known->second += 1.0;
+        }
+    }
+    const double measured = std::clamp(std::log(report.slowdown), lowest_measured, highest_measured);
+    learn(own->kind, neighbours, measured, found->second, now);
+    if (now - published_at_ >= settings_.snapshot_interval) {
+        publish(now);
+    }
+    return true;
+}
+
+// Only the weight fades: fading the value as well kept a pair with a report each second a third below the
+// truth.
+void interference_model::fade(estimate& one, time_point now) const {
+    one.weight *= get_decay(now - one.updated_at, settings_.half_life);
+    one.updated_at = now;
+}
+
+void interference_model::learn(kind_index kind, const std::vector<std::pair<kind_index, double>>& neighbours,
+                               double measured, upstream_history& history, time_point now) {
+    auto& base = bases_[kind];
+    fade(base, now);
+    const double base_variance = 1.0 / (base.weight + settings_.declared_weight);
+    double predicted = blend(base.value, base.weight, 0.0, settings_.declared_weight);
+    double variance = report_variance + base_variance;
+    const auto get_variance = [&](const estimate& one) {
+        return 1.0 / (one.weight + settings_.prior_weight);
+    };
+    for (const auto& [neighbour, count] : neighbours) {
+        auto& pair = pairs_[kind * settings_.kind_limit + neighbour];
+        fade(pair, now);
+        predicted += count * blend(pair.value, pair.weight, get_prior(neighbour), settings_.prior_weight);
+        variance += count * count * get_variance(pair);
+    }
+    const double error = measured - predicted;
+    base.value += base_variance / variance * error;
+    base.weight = std::min(base.weight + 1.0, settings_.weight_limit);
+    for (const auto& [neighbour, count] : neighbours) {
+        auto& pair = pairs_[kind * settings_.kind_limit + neighbour];
+        // A neighbour never speeds a task up; a negative part would only hide another one.
+        pair.value = std::max(pair.value + get_variance(pair) * count / variance * error, 0.0);
+        pair.weight = std::min(pair.weight + count, settings_.weight_limit);
+    }
+    const double decay = get_decay(now - history.recent_at, settings_.recent_half_life);
+    const double weight = history.recent_weight * decay + 1;
+    history.recent_excess = (history.recent_excess * history.recent_weight * decay + error) / weight;
+    history.recent_weight = weight;
+    history.recent_at = now;
+}
+
+void interference_model::publish(time_point now) {
+    const std::size_t count = classes_.size();
+    std::vector<pair_effect> pairs;
+    pairs.reserve(count * count);
+    for (std::size_t row = 0; row < count; ++row) {
+        for (std::size_t column = 0; column < count; ++column) {
+            estimate one = pairs_[row * settings_.kind_limit + column];
+            fade(one, now);
+            const double prior = get_prior(static_cast<kind_index>(column));
+            const double effect = blend(one.value, one.weight, prior, settings_.prior_weight);
+            pairs.push_back({.effect = static_cast<float>(effect), .weight = static_cast<float>(one.weight)});
+        }
+    }
+    snapshot_ = std::make_shared<const interference_snapshot>(count, std::move(pairs));
+    published_at_ = now;
+}
+
+std::shared_ptr<const interference_snapshot> interference_model::get_snapshot() const {
+    std::lock_guard lock(mutex_);
+    return snapshot_;
+}
+
+double interference_model::get_recent_excess(const upstream_id& upstream, time_point now) const {
+    std::lock_guard lock(mutex_);
+    const auto found = histories_.find(upstream);
+    if (found == histories_.end()) {
+        return 0.0;
+    }
+    const auto& history = found->second;
+    const double weight =
+        history.recent_weight * get_decay(now - history.recent_at, settings_.recent_half_life);
+    return history.recent_excess * weight / (weight + 1);
+}
+
+std::uint64_t interference_model::get_unmatched_count() const {
+    std::lock_guard lock(mutex_);
+    return unmatched_;
+}
+
+}  // namespace jacinthvane
