Add the fleet configuration, its changes, metrics and the command line

Cause: operators had no way to state defaults, exceptions and drains, and the binary had no commands.

The command line covers every group of commands; serve and the check of settings files are hooks. metrics keeps closed label sets, so the number of series is fixed.

--- /dev/null
+++ b/src/command/config_commands.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <vector>
+
+#include "command/command_line.hpp"
+
+namespace jacinthvane {
+
+std::vector<command_spec> get_config_commands();
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/command/documents.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+
+namespace jacinthvane {
+
+// The pages docs/errors.md and docs/configuration.md, written from the tables in the code.
+std::string write_errors_page();
+std::string write_configuration_page();
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/command/fleet_commands.cpp
@@ -0,0 +1,188 @@
+#include "command/fleet_commands.hpp"
+
+#include <algorithm>
+
+#include "command/admin_client.hpp"
+#include "command/change_command.hpp"
+#include "command/text_table.hpp"
+#include "connection/document_reader.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+std::string to_cell(const nlohmann::json& row, const char* key) {
+    const auto found = row.find(key);
+    if (found == row.end()) {
+        return "-";
+    }
+    return found->is_string() ? found->get<std::string>() : write_json(*found);
+}
+
+void print_teams(const nlohmann::json& teams, std::ostream& out) {
+    text_table table({"TEAM", "SLOTS USED", "OF", "ACCELERATORS USED", "OF", "SHARE", "URGENT", "BATCH",
+                      "QUEUED", "REFUSED"});
+    for (const auto& team : teams) {
+        table.add_row({to_cell(team, "team"), to_cell(team, "slots_used"), to_cell(team, "quota_slots"),
+                       to_cell(team, "accelerators_used"), to_cell(team, "quota_accelerators"),
+                       to_cell(team, "share"), to_cell(team, "urgent_running"),
+                       to_cell(team, "batch_running"), to_cell(team, "queued"), to_cell(team, "refused")});
+    }
+    table.print(out);
+}
+
+absl::Status show_quotas(const parsed_arguments& arguments, command_streams& streams) {
+    const auto client = admin_client::make(arguments);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const auto answer = client->get("/v1/admin/quotas");
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    if (arguments.is_json()) {
+        streams.out << write_json(*answer) << "\n";
+    } else {
+        print_teams(answer->at("teams"), streams.out);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status set_quota(const parsed_arguments& arguments, command_streams& streams) {
+    const auto reason = require_reason(arguments);
+    if (!reason.ok()) {
+        return reason.status();
+    }
+    nlohmann::json body = {{"team", arguments.positionals[0]}, {"reason", *reason}};
+    for (const auto& [option, field] :
+         {std::pair{"slots", "quota_slots"}, std::pair{"accelerators", "quota_accelerators"},
+          std::pair{"share", "share"}}) {
+        std::int64_t number = 0;
+        if (auto status = read_number_option(arguments, option, 0, 1'000'000, number); !status.ok()) {
+            return status;
+        }
+        if (arguments.has(option)) {
+            body[field] = number;
+        }
+    }
+    const auto client = admin_client::make(arguments);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const auto answer = post_change(*client, "/v1/admin/quotas", std::move(body));
+    return answer.ok() ? finish_change(*client, *answer, arguments, streams) : answer.status();
+}
+
+absl::Status dump_state(const parsed_arguments& arguments, command_streams& streams) {
+    const auto client = admin_client::make(arguments);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const auto answer = client->get("/v1/admin/state");
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    streams.out << (arguments.is_json() ? write_json(*answer) : answer->dump(2)) << "\n";
+    return absl::OkStatus();
+}
+
+absl::Status show_members(const parsed_arguments& arguments, command_streams& streams) {
+    const auto client = admin_client::make(arguments);
+    if (!client.ok()) {
+        return client.status();
+    }
+    const auto answer = client->get("/v1/admin/members");
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    if (arguments.is_json()) {
+        streams.out << write_json(*answer) << "\n";
+        return absl::OkStatus();
+    }
+    text_table table({"MEMBER", "FAILURE DOMAIN", "STATE", "CONFIG", "ADDRESS"});
+    for (const auto& member : answer->at("members")) {
+        table.add_row({to_cell(member, "process"), to_cell(member, "failure_domain"),
+                       to_cell(member, "state"), to_cell(member, "config_version"),
+                       to_cell(member, "address")});
+    }
+    table.print(streams.out);
+    return absl::OkStatus();
+}
+
+absl::Status show_top(const parsed_arguments& arguments, command_streams& streams) {
+    std::int64_t count = 1;
+    std::int64_t interval = 2;
+    for (const auto& status : {read_number_option(arguments, "count", 1, 100'000, count),
+                               read_number_option(arguments, "interval", 1, 3600, interval)}) {
+        if (!status.ok()) {
+            return status;
+        }
+    }
+    const auto client = admin_client::make(arguments);
+    if (!client.ok()) {
+        return client.status();
+    }
+    for (std::int64_t i = 0; i < count; ++i) {
+        if (i > 0) {
+            pause_for(std::chrono::seconds(interval));
+            streams.out << "\n";
+        }
+        const auto answer = client->get("/v1/admin/quotas");
+        if (!answer.ok()) {
+            return answer.status();
+        }
+        if (arguments.is_json()) {
+            streams.out << write_json(*answer) << "\n";
+            continue;
+        }
+        auto teams = answer->at("teams").get<std::vector<nlohmann::json>>();
+        std::stable_sort(teams.begin(), teams.end(), [](const auto& left, const auto& right) {
+            return left.value("slots_used", std::int64_t{0}) > right.value("slots_used", std::int64_t{0});
+        });
+        print_teams(teams, streams.out);
+        streams.out.flush();
+    }
+    return absl::OkStatus();
+}
+
+}  // namespace
+
+std::vector<command_spec> get_fleet_commands() {
+    return {
+        {.command = "quota",
+         .subcommand = "show",
+         .summary = "show quotas of teams and what they use",
+         .examples = {"jacinthvane quota show"},
+         .run = show_quotas},
+        {.command = "quota",
+         .subcommand = "set",
+         .operands = "TEAM",
+         .min_operands = 1,
+         .max_operands = 1,
+         .summary = "set the quota or the share of a team",
+         .examples = {"jacinthvane quota set imports --slots 300 --reason \"visit week\""},
+         .options = {{"slots", "N", "slots at once"},
+                     {"accelerators", "N", "accelerators at once"},
+                     {"share", "N", "weight in the queue"},
+                     reason_option,
+                     wait_option,
+                     wait_timeout_option},
+         .run = set_quota},
+        {.command = "dump",
+         .summary = "dump the state of one entry process",
+         .examples = {"jacinthvane dump --address 10.0.0.11:9090 > state.json"},
+         .run = dump_state},
+        {.command = "members",
+         .summary = "list members with the configuration version in force on each",
+         .examples = {"jacinthvane members"},
+         .run = show_members},
+        {.command = "top",
+         .summary = "show the teams that use most",
+         .examples = {"jacinthvane top", "jacinthvane top --count 30 --interval 2"},
+         .options = {{"count", "N", "print N times (default: 1)"},
+                     {"interval", "SECONDS", "time between prints (default: 2)"}},
+         .run = show_top},
+    };
+}
+
+}  // namespace jacinthvane
--- a/src/command/main.cpp
+++ b/src/command/main.cpp
@@ -1,6 +1,15 @@
-#include <cstdio>
+#include <iostream>
+#include <string>
+#include <vector>
 
-int main() {
-    std::puts("jacinthvane 0.1.0");
-    return 0;
+#include <glog/logging.h>
+
+#include "command/command_line.hpp"
+
+int main(int argc, char** argv) {
+    // The VMs have no disks, so the log goes to the standard error stream only.
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    return jacinthvane::run_command_line(arguments, std::cout, std::cerr);
 }
--- /dev/null
+++ b/src/command/text_table.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace jacinthvane {
+
+// Prints rows in columns that are as wide as their widest cell.
+class text_table {
+public:
+    explicit text_table(std::vector<std::string> header) { rows_.push_back(std::move(header)); }
+
+    void add_row(std::vector<std::string> row) { rows_.push_back(std::move(row)); }
+    void print(std::ostream& out) const;
+
+private:
+    std::vector<std::vector<std::string>> rows_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/metrics.hpp
@@ -0,0 +1,132 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "process/error_kind.hpp"
+#include "process/task_types.hpp"
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+class Registry;
+}  // namespace prometheus
+
+namespace jacinthvane {
+
+// Decisions that are counted one by one.
+enum class decision {
+    placed,
+    retried,
+    hedged,
+    ejected,
+    probed,
+    readmitted,
+    evicted,
+    resumed,
+    parked,
+    job_accepted,
+    job_finished,
+    job_cancelled,
+    key_claimed,
+    key_repeated,
+    unknown_outcome,
+    takeover,
+    takeover_unproved,
+    handover,
+    term_lapsed,
+    late_start_refused,
+    journal_batch,
+    journal_conflict,
+    snapshot,
+    link_replaced,
+    datagram_refused,
+    config_change,
+    config_conflict,
+    admin_refused,
+    runbook_step,
+    task_exception,
+};
+
+enum class store_call { get, compare_and_swap, remove, grant_lease, renew_lease, release_lease, watch };
+enum class store_result { ok, absent, conflict, refused, unavailable, unknown };
+enum class link_direction { sent, received };
+
+// Times that are kept as histograms, in seconds.
+enum class measured_time {
+    urgent_start,
+    urgent_answer,
+    batch_wait,
+    placement,
+    store_call,
+    config_spread,
+    takeover
+};
+
+// All counters of the process. Label values come from closed lists only, so the number of series is fixed.
+// Safe to call from any thread.
+class metrics {
+public:
+    metrics();
+    ~metrics();
+
+    metrics(const metrics&) = delete;
+    metrics& operator=(const metrics&) = delete;
+
+    void count(decision what, std::uint64_t amount = 1);
+    // A request that was not answered with success, by error kind.
+    void count_refused(error_kind kind);
+    void count_store_call(store_call call, store_result result);
+    void count_link_bytes(link_direction direction, task_class work_class, std::uint64_t bytes);
+    void count_journal_records(std::uint64_t records, std::uint64_t bytes);
+    void observe(measured_time what, double seconds);
+    void set_config_version(std::uint64_t version);
+    // States outside the list joining, live, suspect, leaving and gone count as "other".
+    void set_members(std::string_view state, std::uint64_t members);
+    void set_queued(task_class work_class, std::uint64_t requests);
+    void set_running(task_class work_class, std::uint64_t tasks);
+    void set_ready(bool is_ready);
+
+    // Reads for the state dump and for tests.
+    std::uint64_t get_count(decision what) const;
+    std::uint64_t get_refused(error_kind kind) const;
+
+    // The text format of Prometheus.
+    std::string write_text() const;
+
+private:
+    static constexpr std::size_t decisions = static_cast<std::size_t>(decision::task_exception) + 1;
+    static constexpr std::size_t error_kinds = static_cast<std::size_t>(error_kind::internal) + 1;
+    static constexpr std::size_t store_calls = static_cast<std::size_t>(store_call::watch) + 1;
+    static constexpr std::size_t store_results = static_cast<std::size_t>(store_result::unknown) + 1;
+    static constexpr std::size_t times = static_cast<std::size_t>(measured_time::takeover) + 1;
+
+    void add_counters();
+    void add_gauges();
+    void add_histograms();
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    std::array<prometheus::Counter*, decisions> decisions_{};
+    std::array<prometheus::Counter*, error_kinds> refused_{};
+    std::array<std::array<prometheus::Counter*, store_results>, store_calls> store_calls_{};
+    // By direction, then by class.
+    std::array<std::array<prometheus::Counter*, 2>, 2> link_bytes_{};
+    prometheus::Counter* journal_records_ = nullptr;
+    prometheus::Counter* journal_bytes_ = nullptr;
+    std::array<prometheus::Histogram*, times> times_{};
+    prometheus::Gauge* config_version_ = nullptr;
+    prometheus::Gauge* ready_ = nullptr;
+    std::map<std::string, prometheus::Gauge*, std::less<>> members_;
+    std::array<prometheus::Gauge*, 2> queued_{};
+    std::array<prometheus::Gauge*, 2> running_{};
+};
+
+std::string_view get_name(decision what);
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/version/runbook.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "process/error_kind.hpp"
+#include "process/ids.hpp"
+#include "process/resource_vector.hpp"
+#include "process/task_types.hpp"
+#include "process/utc_time.hpp"
+#include "version/config_error.hpp"
+
+namespace jacinthvane {
+
+constexpr std::size_t max_runbook_steps = 64;
+constexpr std::size_t max_step_arguments = 32;
+constexpr std::size_t max_argument_bytes = 1024;
+constexpr std::int64_t max_step_timeout_ms = 24LL * 3600 * 1000;
+
+// What happens to a run when a step is known to have failed.
+enum class failure_action { stop, go_on, ask };
+
+// Where a step may run.
+struct any_upstream {
+    bool operator==(const any_upstream&) const = default;
+};
+using upstream_selection = std::variant<any_upstream, upstream_id, rack_id, failure_domain_id>;
+
+// One step: a command that the operators' old system already had.
+struct runbook_step {
+    std::string name;
+    std::string command;
+    std::vector<std::string> arguments;
+    task_kind kind;
+    upstream_selection runs_on;
+    task_class work_class = task_class::batch;
+    resource_vector size{1000, 1024, 0, 1};
+    bool is_idempotent = false;
+    std::int64_t timeout_ms = 0;
+    failure_action on_failure = failure_action::stop;
+
+    bool operator==(const runbook_step&) const = default;
+};
+
+struct runbook {
+    std::string name;
+    std::string description;
+    team_id team;
+    std::vector<runbook_step> steps;
+
+    bool operator==(const runbook&) const = default;
+};
+
+// Finds every fault of a runbook at once. The key of each fault starts with the given prefix.
+config_errors check_runbook(const runbook& book, const std::string& prefix);
+
+// Names are 1 to 64 letters, digits, '.', '_' or '-', so that they can stand in a path without escapes.
+bool is_valid_name(std::string_view name);
+
+enum class step_state { waiting, started, done, failed, unknown_outcome, skipped };
+enum class run_state { running, asking, stopped, finished, cancelled };
+
+std::string_view get_name(failure_action action);
+std::string_view get_name(step_state state);
+std::string_view get_name(run_state state);
+
+// What is known of one step of a run.
+struct step_record {
+    step_state state = step_state::waiting;
+    run_knowledge knowledge = run_knowledge::not_run;
+    std::uint32_t attempts = 0;
+    // The task of the newest attempt. The same id is used when a driver looks for the outcome later.
+    task_id task;
+    std::string detail;
+
+    bool operator==(const step_record&) const = default;
+};
+
+// The durable record of one run. Every driver works from this record alone.
+struct runbook_run_record {
+    std::string run_id;
+    runbook book;
+    run_state state = run_state::running;
+    std::vector<step_record> steps;
+    std::string started_by;
+    std::string reason;
+    utc_time started_at;
+    // What the operator is asked, while the state is asking.
+    std::string question;
+    // Decisions of operators in order: who, what and why. Bounded to max_run_decisions.
+    std::vector<std::string> decisions;
+
+    bool operator==(const runbook_run_record&) const = default;
+};
+
+constexpr std::size_t max_run_decisions = 100;
+
+}  // namespace jacinthvane
