--- a/src/connection/record_codec.cpp
+++ b/src/connection/record_codec.cpp
@@ -23,9 +23,6 @@
 constexpr std::uint8_t snapshot_form = 'S';
 constexpr std::uint8_t head_form = 'H';
 
-// A batch that claims more time than this since the one before is wrong: writers cut the time off here.
-constexpr std::int64_t max_elapsed_ms = 24LL * 3600 * 1000;
-
 // Lets cereal read from bytes without a copy.
 class view_buffer : public std::streambuf {
 public:
@@ -470,7 +467,7 @@
 }
 
 bool are_sequences_plausible(const journal_batch& batch) {
-    return batch.sequence > 0 && batch.elapsed_ms >= 0 && batch.elapsed_ms <= max_elapsed_ms;
+    return batch.sequence > 0 && batch.elapsed_ms >= 0 && batch.elapsed_ms <= max_batch_elapsed_ms;
 }
 
 }  // namespace
--- a/src/process/journal.cpp
+++ b/src/process/journal.cpp
@@ -146,7 +146,6 @@
         action_ = journal_action::load_snapshot;
         return {};
     }
-    next_sequence_ = batch_->sequence + 1;
     // The write took effect, so the state before it was the newest one.
     for (auto& pending : pending_) {
         pending.may_be_refused = pending.may_be_refused || pending.ticket <= batch_ticket_;
@@ -154,11 +153,8 @@
     return finish_batch(absl::OkStatus());
 }
 
-std::vector<record_result> journal::on_overtaken(
-    std::uint64_t snapshot_sequence,
-    const std::vector<std::pair<std::uint64_t, writer_mark>>& snapshot_marks) {
-    next_sequence_ = snapshot_sequence + 1;
-    for (const auto& [sequence, mark] : snapshot_marks) {
+std::vector<record_result> journal::on_overtaken() {
+    for (const auto& [sequence, mark] : recent_marks_) {
         if (sequence != batch_->sequence) {
             continue;
         }
@@ -178,8 +174,7 @@
     refresh_ticket_ = last_ticket_;
 }
 
-void journal::on_refreshed(std::uint64_t next_sequence) {
-    next_sequence_ = next_sequence;
+void journal::on_refreshed() {
     for (auto& pending : pending_) {
         pending.may_be_refused = pending.may_be_refused || pending.ticket <= refresh_ticket_;
     }
@@ -189,6 +184,7 @@
 }
 
 void journal::note_applied(std::uint64_t sequence, const writer_mark& mark, std::size_t bytes) {
+    next_sequence_ = sequence + 1;
     recent_marks_.emplace_back(sequence, mark);
     if (recent_marks_.size() > limits_.max_recent_marks) {
         recent_marks_.pop_front();
@@ -196,7 +192,8 @@
     bytes_since_snapshot_ += bytes;
 }
 
-void journal::replace_marks(std::vector<std::pair<std::uint64_t, writer_mark>> marks) {
+void journal::note_loaded(std::uint64_t sequence, std::vector<std::pair<std::uint64_t, writer_mark>> marks) {
+    next_sequence_ = sequence + 1;
     recent_marks_.assign(marks.begin(), marks.end());
 }
 
--- a/src/process/journal.hpp
+++ b/src/process/journal.hpp
@@ -91,24 +91,23 @@
     void on_read_back(const std::optional<writer_mark>& mark);
 
     // Result of reading the snapshot head, with sequence 0 if there is none. If the batch is durable, returns
-    // the results of its records; the caller applies the batch to its table first (see get_batch).
+    // the results of its records; the caller has to apply the batch to its table (get it before with
+    // get_batch).
     std::vector<record_result> on_head(std::uint64_t snapshot_sequence);
 
-    // A snapshot has passed the batch's sequence. Its marks say whether the batch is part of it; if they do
-    // not reach back that far, the outcome of the records stays unknown. The caller has replaced its table by
-    // the snapshot.
-    std::vector<record_result> on_overtaken(
-        std::uint64_t snapshot_sequence,
-        const std::vector<std::pair<std::uint64_t, writer_mark>>& snapshot_marks);
+    // A snapshot has passed the batch's sequence, and the caller has loaded it and told so by note_loaded.
+    // Its marks say whether the batch is part of it; if they do not reach back that far, the outcome of the
+    // records stays unknown.
+    std::vector<record_result> on_overtaken();
 
     // Brackets a refresh: records that were pending when it began may be refused by the state that it read.
     void on_refresh_started();
-    // All batches before next_sequence are in the table.
-    void on_refreshed(std::uint64_t next_sequence);
+    void on_refreshed();
 
-    // Notes the marks of batches that were applied, for later snapshots.
+    // The batch was applied to the table, which now ends there.
     void note_applied(std::uint64_t sequence, const writer_mark& mark, std::size_t bytes);
-    void replace_marks(std::vector<std::pair<std::uint64_t, writer_mark>> marks);
+    // The table was replaced by a snapshot.
+    void note_loaded(std::uint64_t sequence, std::vector<std::pair<std::uint64_t, writer_mark>> marks);
     std::vector<std::pair<std::uint64_t, writer_mark>> get_recent_marks() const;
 
     // Says whether a snapshot should be taken at the present sequence.
--- a/src/process/journal_record.hpp
+++ b/src/process/journal_record.hpp
@@ -149,6 +149,10 @@
     auto operator<=>(const writer_mark&) const = default;
 };
 
+// A writer cuts the elapsed time of a batch off here, so one wrong reading of a clock cannot end the
+// retention of all keys at once.
+constexpr std::int64_t max_batch_elapsed_ms = 12LL * 3600 * 1000;
+
 // One value of the journal. The elapsed time is what the writer's monotonic clock measured since it saw the
 // batch before, so the sum over all batches never runs ahead of real time.
 struct journal_batch {
--- a/src/process/shard_table.cpp
+++ b/src/process/shard_table.cpp
@@ -273,7 +273,7 @@
     }
 
     absl::Status operator()(const generation_started& record) const {
-        const auto status = table.check_start(record.job);
+        auto status = table.check_start(record.job);
         if (!status.ok()) {
             return status;
         }
