--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -123,7 +123,8 @@
 }
 
 awaitable<absl::StatusOr<http_response>> http_client::fetch(std::string address, http_request request,
-                                                            time_point deadline, time_point write_before) {
+                                                            time_point deadline, time_point write_before,
+                                                            answer_check is_expected) {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) {
         co_return make_error(error_kind::upstream_unreachable,
@@ -135,10 +136,10 @@
     }
     auto connection = std::move(*acquired);
     // The stream's timers run on the stream's own strand, so the exchange has to run there too.
-    auto result = co_await asio::co_spawn(
-        connection->stream.get_executor(),
-        exchange(*connection, *endpoint, address, std::move(request), deadline, write_before),
-        asio::use_awaitable);
+    auto result = co_await asio::co_spawn(connection->stream.get_executor(),
+                                          exchange(*connection, *endpoint, address, std::move(request),
+                                                   deadline, write_before, std::move(is_expected)),
+                                          asio::use_awaitable);
     release(address, std::move(connection));
     co_return result;
 }
@@ -146,7 +147,8 @@
 awaitable<absl::StatusOr<http_response>> http_client::exchange(pooled_connection& connection,
                                                                asio::ip::tcp::endpoint endpoint,
                                                                std::string address, http_request request,
-                                                               time_point deadline, time_point write_before) {
+                                                               time_point deadline, time_point write_before,
+                                                               answer_check is_expected) {
     auto& stream = connection.stream;
     stream.expires_at(deadline);
     boost::system::error_code error;
@@ -175,9 +177,14 @@
         co_return make_error(error_kind::upstream_lost, "call to " + address + " broke: " + error.message());
     }
     auto received = parser.release();
-    connection.is_open = received.keep_alive();
+    const bool is_kept = received.keep_alive();
+    auto response = from_beast(std::move(received));
+    if (is_expected && !is_expected(response)) {
+        co_return make_error(error_kind::upstream_lost, address + " sent an answer to another request");
+    }
+    connection.is_open = is_kept;
     stream.expires_never();
-    co_return from_beast(std::move(received));
+    co_return response;
 }
 
 }  // namespace jacinthvane
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -20,6 +21,9 @@
 // only.
 class http_client {
 public:
+    // Tells the answer to this request from an answer to another one.
+    using answer_check = std::function<bool(const http_response&)>;
+
     http_client(asio::io_context& context, std::size_t max_connections_per_address);
     ~http_client();
 
@@ -29,10 +33,12 @@
     // Sends the request to "address:port". Errors: upstream_unreachable (known not to have been sent),
     // upstream_lost (may have been acted on). Waits for a free connection until the deadline.
     // The start of the write can be refused by write_before: a request whose connection is ready only later
-    // than that is not sent (upstream_unreachable).
+    // than that is not sent (upstream_unreachable). An answer that fails is_expected is discarded and its
+    // connection closed (upstream_lost).
     awaitable<absl::StatusOr<http_response>> fetch(std::string address, http_request request,
                                                    time_point deadline,
-                                                   time_point write_before = time_point::max());
+                                                   time_point write_before = time_point::max(),
+                                                   answer_check is_expected = {});
 
 private:
     struct pooled_connection;
@@ -43,7 +49,8 @@
     static awaitable<absl::StatusOr<http_response>> exchange(pooled_connection& connection,
                                                              asio::ip::tcp::endpoint endpoint,
                                                              std::string address, http_request request,
-                                                             time_point deadline, time_point write_before);
+                                                             time_point deadline, time_point write_before,
+                                                             answer_check is_expected);
     void release(const std::string& address, std::unique_ptr<pooled_connection> connection);
 
     asio::io_context& context_;
--- /dev/null
+++ b/src/connection/json_reader.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/status/statusor.h"
+
+namespace jacinthvane {
+
+// Parses a JSON object. Errors: bad_request, with the name of what was read.
+absl::StatusOr<nlohmann::json> parse_json_object(std::string_view bytes, std::string_view what);
+
+// Reads the fields of one JSON object. The first field that is missing or of a wrong type or range sets the
+// error, and later reads return defaults, so that a decoder checks once at its end.
+class json_reader {
+public:
+    json_reader(const nlohmann::json& object, std::string_view what);
+
+    std::string read_text(const char* name, std::size_t max_bytes);
+    std::optional<std::string> read_optional_text(const char* name, std::size_t max_bytes);
+    std::int64_t read_integer(const char* name, std::int64_t lowest, std::int64_t highest);
+    bool read_flag(const char* name);
+    // Returns an array field; an empty one if it is missing or wrong.
+    const nlohmann::json& read_array(const char* name);
+    // Returns an object field; an empty one if it is missing or wrong.
+    const nlohmann::json& read_object(const char* name);
+
+    void fail(const char* name, std::string_view reason);
+    const absl::Status& get_status() const { return status_; }
+
+private:
+    const nlohmann::json* find(const char* name);
+
+    const nlohmann::json& object_;
+    std::string what_;
+    absl::Status status_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/connection/upstream_codec.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "process/task_types.hpp"
+#include "process/upstream_types.hpp"
+
+namespace jacinthvane {
+
+constexpr std::size_t max_identifier_bytes = 256;
+constexpr std::size_t max_checkpoint_bytes = 4096;
+
+// Encodings of the upstream interface. A start is one line of JSON followed by the task's body, so that the
+// body may hold any bytes. Errors of all decoders: bad_request, with the field at fault.
+std::string encode_start(const start_call& call);
+absl::StatusOr<start_call> decode_start(std::string_view bytes);
+
+std::string encode_list(const upstream_list& list);
+absl::StatusOr<upstream_list> decode_list(std::string_view bytes);
+
+std::string encode_usage(const usage_answer& usage);
+absl::StatusOr<usage_answer> decode_usage(std::string_view bytes);
+
+// A call that concerns one task, and its parameter.
+struct task_call {
+    std::uint64_t generation = 0;
+    std::int64_t lease_deadline_ms = 0;
+    std::int64_t percent = 100;
+
+    bool operator==(const task_call&) const = default;
+};
+
+std::string encode_task_call(const task_call& call);
+absl::StatusOr<task_call> decode_task_call(std::string_view bytes);
+
+// The answer to a call that concerns one task. It names the task, so that the answer to another call is seen.
+struct task_call_answer {
+    task_id task;
+    std::optional<task_state> state;
+    std::optional<std::string> checkpoint;
+
+    bool operator==(const task_call_answer&) const = default;
+};
+
+std::string encode_task_call_answer(const task_call_answer& answer);
+absl::StatusOr<task_call_answer> decode_task_call_answer(std::string_view bytes);
+
+std::string_view get_name(task_state state);
+std::optional<task_state> find_task_state(std::string_view name);
+
+// One entry of the platform's VM list.
+enum class vm_role { entry, upstream };
+
+struct vm_record {
+    vm_id vm;
+    failure_domain_id failure_domain;
+    rack_id rack;
+    vm_role role = vm_role::upstream;
+    bool is_leaving = false;
+    std::string address;
+    resource_vector size;
+    std::int64_t connections = 64;
+
+    bool operator==(const vm_record&) const = default;
+};
+
+std::string encode_vm_list(const std::vector<vm_record>& vms);
+absl::StatusOr<std::vector<vm_record>> decode_vm_list(std::string_view bytes);
+
+}  // namespace jacinthvane
