--- /dev/null
+++ b/standin/run_server.cpp
@@ -0,0 +1,24 @@
+#include "standin/run_server.hpp"
+
+#include <csignal>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/signal_set.hpp>
+
+namespace jacinthvane {
+
+void run_until_signal(asio::io_context& context, std::size_t threads) {
+    asio::signal_set signals(context, SIGINT, SIGTERM);
+    signals.async_wait([&](const boost::system::error_code&, int) { context.stop(); });
+    std::vector<std::thread> others;
+    for (std::size_t n = 1; n < threads; ++n) {
+        others.emplace_back([&] { context.run(); });
+    }
+    context.run();
+    for (auto& other : others) {
+        other.join();
+    }
+}
+
+}  // namespace jacinthvane
