--- a/src/command/runbook_commands.cpp
+++ b/src/command/runbook_commands.cpp
@@ -219,9 +219,11 @@
 
 absl::Status resume_run(const parsed_arguments& arguments, command_streams& streams) {
     const auto decision = arguments.get("decision");
-    if (decision != "it-ran" && decision != "it-failed" && decision != "repeat") {
-        return make_error(error_kind::bad_request,
-                          "give --decision it-ran, it-failed or repeat for the step that is asked about");
+    if (decision != "it-ran" && decision != "it-failed" && decision != "did-not-run" &&
+        decision != "repeat") {
+        return make_error(
+            error_kind::bad_request,
+            "give --decision it-ran, it-failed, did-not-run or repeat for the step that is asked about");
     }
     return decide_run(arguments, streams, "resume", decision);
 }
@@ -283,7 +285,8 @@
          .max_operands = 1,
          .summary = "answer the question of a run and let it go on",
          .examples = {"jacinthvane runbook resume 3f9a --decision it-ran --reason \"seen in the archive\""},
-         .options = {{"decision", "it-ran|it-failed|repeat", "what happened to the step, or do it again"},
+         .options = {{"decision", "it-ran|it-failed|did-not-run|repeat",
+                      "what happened to the step, or do it again"},
                      reason_option},
          .run = resume_run},
         {.command = "runbook",
--- a/src/connection/runbook_codec.cpp
+++ b/src/connection/runbook_codec.cpp
@@ -255,6 +255,7 @@
             {"reason", record.reason},
             {"started_at", format_utc(record.started_at)},
             {"question", record.question},
+            {"writer", record.writer},
             {"decisions", record.decisions}};
 }
 
@@ -286,6 +287,7 @@
     record.reason = reader.get_text("reason", "");
     record.started_at = parse_utc(reader.get_text("started_at", "")).value_or(utc_time{});
     record.question = reader.get_text("question", "");
+    record.writer = reader.get_text("writer", "");
     if (const auto* decisions = reader.find_array("decisions")) {
         for (const auto& item : *decisions) {
             if (item.is_string() && record.decisions.size() < max_run_decisions) {
--- a/src/version/runbook.cpp
+++ b/src/version/runbook.cpp
@@ -142,4 +142,18 @@
     return "asking";
 }
 
+std::string_view get_name(run_decision decision) {
+    switch (decision) {
+        case run_decision::it_ran:
+            return "it-ran";
+        case run_decision::it_failed:
+            return "it-failed";
+        case run_decision::did_not_run:
+            return "did-not-run";
+        case run_decision::repeat:
+            return "repeat";
+    }
+    return "it-failed";
+}
+
 }  // namespace jacinthvane
--- a/src/version/runbook.hpp
+++ b/src/version/runbook.hpp
@@ -69,6 +69,11 @@
 std::string_view get_name(step_state state);
 std::string_view get_name(run_state state);
 
+// What an operator says of the step that a run has stopped at. did_not_run and repeat start it again; repeat
+// is refused for a non-idempotent step.
+enum class run_decision { it_ran, it_failed, did_not_run, repeat };
+std::string_view get_name(run_decision decision);
+
 // What is known of one step of a run.
 struct step_record {
     step_state state = step_state::waiting;
@@ -92,6 +97,8 @@
     utc_time started_at;
     // What the operator is asked, while the state is asking.
     std::string question;
+    // Unique to each save, so that a save whose answer was lost is recognized by reading back.
+    std::string writer;
     // Decisions of operators in order: who, what and why. Bounded to max_run_decisions.
     std::vector<std::string> decisions;
 
