--- a/tests/run_coroutine.hpp
+++ b/tests/run_coroutine.hpp
@@ -12,11 +12,19 @@
 // that hangs is ended by the time limit of ctest.
 inline void run_coroutine(jacinthvane::asio::io_context& context,
                           std::function<jacinthvane::awaitable<void>()> body, unsigned threads = 1) {
+    // A failed requirement leaves the coroutine as an exception; the context has to stop then, too.
+    struct stop_at_end {
+        explicit stop_at_end(jacinthvane::asio::io_context& stopped) : context(stopped) {}
+        ~stop_at_end() { context.stop(); }
+        stop_at_end(const stop_at_end&) = delete;
+        stop_at_end& operator=(const stop_at_end&) = delete;
+        jacinthvane::asio::io_context& context;
+    };
     bool is_finished = false;
     const auto task = [&]() -> jacinthvane::awaitable<void> {
+        const stop_at_end guard(context);
         co_await body();
         is_finished = true;
-        context.stop();
     };
     jacinthvane::spawn_task(context, "test", task());
     std::vector<std::thread> pool;
--- a/tests/shard_service_test.cpp
+++ b/tests/shard_service_test.cpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -263,7 +264,11 @@
     const auto paused = f.make_service(options);
     options.self = make_process("active");
     const auto active = f.make_service(options);
+    options.self = make_process("reader");
+    const auto reader = f.make_service(options);
     run_coroutine(f.context, [&]() -> awaitable<void> {
+        const auto loaded = co_await reader->refresh(0, far());
+        BOOST_TEST(loaded.ok());
         const idempotency_key key("k");
         const auto self = make_process("active");
         const auto other = make_process("paused");
@@ -279,6 +284,9 @@
             const auto status = co_await active->append(0, make_job("j" + std::to_string(++written)), far());
             BOOST_TEST(status.ok());
         }
+        // The reader's next batch is gone, which must not look like the end of the journal.
+        const auto behind = co_await reader->find_job(job_id("j1"), far());
+        BOOST_TEST(behind.ok());
         const auto repeat = co_await paused->claim_key(team, key, digest, other, far());
         BOOST_REQUIRE(repeat.ok());
         BOOST_TEST((*repeat == key_claim_result(key_settled_answer{run_knowledge::ran, settlement.answer})));
@@ -292,6 +300,43 @@
     });
 }
 
+// Guards against an accepted job being reported as failed, or accepted twice, when its writer pauses after a
+// lost answer until a snapshot has passed its batch (I10): the snapshot's marks say that the batch is part of
+// it.
+BOOST_AUTO_TEST_CASE(lost_answer_is_resolved_after_a_pause) {
+    fixture f;
+    auto options = f.get_options("paused");
+    options.journal.snapshot_interval = 4;
+    asio::io_context paused_context;
+    jacinthvane::shard_service paused(paused_context, store_client(f.store), options);
+    options.self = make_process("active");
+    const auto active = f.make_service(options);
+    std::optional<absl::Status> result;
+    const auto append = [&]() -> awaitable<void> {
+        const auto status = co_await paused.append(0, make_job("paused"), far());
+        result = status;
+    };
+    f.store->set_faults({.lose_answers = 1});
+    spawn_task(paused_context, "append", append());
+    while (paused.get_counters().unknown_outcomes == 0) {
+        paused_context.run_one();
+    }
+    run_coroutine(f.context, [&]() -> awaitable<void> {
+        int written = 0;
+        while (active->get_counters().batches_removed < 4) {
+            const auto status = co_await active->append(0, make_job("j" + std::to_string(++written)), far());
+            BOOST_REQUIRE(status.ok());
+        }
+        const auto found = co_await active->find_job(job_id("paused"), far());
+        BOOST_TEST(found.ok());
+    });
+    while (!result) {
+        paused_context.run_one();
+    }
+    BOOST_TEST(result->ok());
+    BOOST_TEST(paused.get_counters().batches_overtaken == 1U);
+}
+
 // Guards against two homes that both start the same generation of a job (I2, I3), and against an accepted job
 // that is lost (I10).
 BOOST_AUTO_TEST_CASE(two_homes_start_each_generation_once) {
@@ -305,6 +350,8 @@
     constexpr int generations = 4;
     std::atomic<int> finished = 0;
     std::atomic<int> accepted = 0;
+    // Boost.Test's macros must not be used by several threads at once.
+    std::atomic<int> failed_stops = 0;
     std::mutex mutex;
     std::map<std::pair<std::string, std::uint64_t>, int> starts;
     // Both homes drive the same jobs and evict each generation they have started.
@@ -325,7 +372,7 @@
             journal_record stop =
                 generation_stopped{job, generation, stop_reason::evicted, "c" + std::to_string(generation)};
             const auto stopped = co_await home.append(0, stop, far());
-            BOOST_TEST(stopped.ok());
+            failed_stops += stopped.ok() ? 0 : 1;
         }
         ++finished;
     };
@@ -341,6 +388,7 @@
         },
         4);
     BOOST_TEST(accepted == jobs);
+    BOOST_TEST(failed_stops == 0);
     for (const auto& [name, count] : starts) {
         BOOST_TEST(count == 1,
                    name.first << " generation " << name.second << " started " << count << " times");
@@ -489,7 +537,7 @@
             co_await second->drain(far());
             const auto first_refreshed = co_await first->refresh(0, far());
             const auto second_refreshed = co_await second->refresh(0, far());
-            BOOST_TEST((first_refreshed.ok() && second_refreshed.ok()));
+            wrong_answers += first_refreshed.ok() && second_refreshed.ok() ? 0 : 1;
         },
         4);
     BOOST_TEST(wrong_answers == 0);
