Add the experiment tool with the policy and decision benches

Change: jacinthvane_experiment has a table of named benches. Results go to the terminal, JSON lines, tables and SVG plots.

--- /dev/null
+++ b/experiment/main.cpp
@@ -0,0 +1,85 @@
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <exception>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "experiment/policy_bench.hpp"
+
+namespace {
+
+using namespace jacinthvane::experiment;
+
+int run_policy_command(int argc, char** argv) {
+    cxxopts::Options options("jacinthvane_experiment policy",
+                             "Runs the placement policies side by side with a virtual clock");
+    options.add_options()("sites", "Sites, separated by commas; all if empty",
+                          cxxopts::value<std::vector<std::string>>()->default_value(""))(
+        "variant", "Only variants whose name starts with this",
+        cxxopts::value<std::string>()->default_value(""))("seeds", "Number of seeds",
+                                                          cxxopts::value<int>()->default_value("5"))(
+        "workers", "Runs at the same time", cxxopts::value<std::size_t>()->default_value("4"))(
+        "folder", "Folder for JSON lines, tables and plots",
+        cxxopts::value<std::string>()->default_value(""))(
+        "no-overload", "Leaves out the runs above capacity")("help", "Prints this text");
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+        std::puts(options.help().c_str());
+        return 0;
+    }
+    policy_bench_options bench{.sites = parsed["sites"].as<std::vector<std::string>>(),
+                               .variant = parsed["variant"].as<std::string>(),
+                               .seeds = parsed["seeds"].as<int>(),
+                               .workers = parsed["workers"].as<std::size_t>(),
+                               .folder = parsed["folder"].as<std::string>(),
+                               .has_overload = parsed.count("no-overload") == 0};
+    std::erase(bench.sites, "");
+    return run_policy_bench(bench);
+}
+
+int run_decision_command(int argc, char** argv) {
+    cxxopts::Options options("jacinthvane_experiment decision",
+                             "Measures the time of one placement decision");
+    options.add_options()("folder", "Folder for JSON lines",
+                          cxxopts::value<std::string>()->default_value(""));
+    return run_decision_bench(options.parse(argc, argv)["folder"].as<std::string>());
+}
+
+struct bench_command {
+    std::string_view name;
+    int (*run)(int argc, char** argv);
+    const char* text;
+};
+
+// A new bench adds its function here; the function parses its own options.
+constexpr bench_command commands[] = {
+    {"policy", run_policy_command, "placement policies, admission, ejection and retries under load"},
+    {"decision", run_decision_command, "time of one placement decision at 7,400 upstreams"},
+};
+
+void print_commands() {
+    std::puts("usage: jacinthvane_experiment COMMAND [OPTION...]");
+    for (const auto& command : commands) {
+        std::printf("  %-10s %s\n", std::string(command.name).c_str(), command.text);
+    }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    const std::string_view name = argc > 1 ? argv[1] : "";
+    for (const auto& command : commands) {
+        if (command.name != name) {
+            continue;
+        }
+        try {
+            return command.run(argc - 1, argv + 1);
+        } catch (const std::exception& error) {
+            std::fprintf(stderr, "%s: %s\n", argv[1], error.what());
+            return 2;
+        }
+    }
+    print_commands();
+    return name.empty() || name == "--help" ? 0 : 2;
+}
--- /dev/null
+++ b/experiment/result_table.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jacinthvane::experiment {
+
+// The measured values of one run.
+struct result_row {
+    std::string site;
+    std::string variant;
+    std::uint64_t seed = 0;
+    // 0 for runs that are not about overload.
+    double load_factor = 0;
+    std::vector<std::pair<std::string, double>> values;
+};
+
+// Collects runs and reports the median, lowest and highest value over the seeds.
+class result_table {
+public:
+    void add(result_row row);
+
+    // Prints the table to the terminal.
+    void print() const;
+
+    // Writes policy.jsonl, policy-*.svg and policy-tables.md into the folder.
+    void write(const std::string& folder) const;
+
+private:
+    std::vector<result_row> rows_;
+};
+
+}  // namespace jacinthvane::experiment
--- a/src/process/candidate_index.hpp
+++ b/src/process/candidate_index.hpp
@@ -32,6 +32,8 @@
     std::vector<neighbour_group> neighbours;
     // Slowdown (natural logarithm) reported of late that the pairs of kinds do not explain.
     double recent_excess = 0;
+    // Memory in use as last reported, which can be above what was declared.
+    std::int64_t measured_memory_mb = 0;
 
     resource_vector get_free() const { return limit - committed; }
     bool operator==(const candidate&) const = default;
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -34,8 +34,10 @@
                           interference.get_effect(group.kind, request.kind);
     }
     const double own_weight = get_class_weight(policy.weights, request.work_class);
-    const double memory =
-        get_share(one.committed.get_memory_mb() + request.size.get_memory_mb(), one.limit.get_memory_mb());
+    const auto used_memory = policy.is_measured_memory_counted
+                                 ? std::max(one.committed.get_memory_mb(), one.measured_memory_mb)
+                                 : one.committed.get_memory_mb();
+    const double memory = get_share(used_memory + request.size.get_memory_mb(), one.limit.get_memory_mb());
     double loss = policy.committed * get_committed_share(one, request.size) +
                   policy.weights.evictions * memory * memory;
     if (policy.is_own_effect_counted) {
--- a/src/request/placement.hpp
+++ b/src/request/placement.hpp
@@ -51,6 +51,7 @@
     bool is_own_effect_counted = true;
     bool is_neighbour_effect_counted = true;
     bool is_recent_excess_counted = true;
+    bool is_measured_memory_counted = true;
 
     bool operator==(const interference_aware_placement&) const = default;
 };
