--- a/src/command/info_commands.cpp
+++ b/src/command/info_commands.cpp
@@ -9,6 +9,7 @@
 #include "command/text_table.hpp"
 #include "connection/document_reader.hpp"
 #include "connection/fleet_config_codec.hpp"
+#include "connection/key_file.hpp"
 #include "connection/runbook_codec.hpp"
 
 namespace jacinthvane {
@@ -78,14 +79,19 @@
         const auto* errors = std::get_if<config_errors>(&parsed);
         return errors == nullptr ? config_errors{} : *errors;
     }
+    if (kind == "keys") {
+        const auto parsed = parse_key_file(text);
+        const auto* errors = std::get_if<config_errors>(&parsed);
+        return errors == nullptr ? config_errors{} : *errors;
+    }
     return check_settings(text);
 }
 
 absl::Status check_file(const parsed_arguments& arguments, command_streams& streams) {
     const auto kind = arguments.get("kind", "settings");
-    if (kind != "settings" && kind != "fleet" && kind != "runbook") {
+    if (kind != "settings" && kind != "fleet" && kind != "runbook" && kind != "keys") {
         return make_error(error_kind::bad_request,
-                          "--kind must be settings, fleet or runbook, not \"" + kind + "\"");
+                          "--kind must be settings, fleet, runbook or keys, not \"" + kind + "\"");
     }
     const auto& path = arguments.positionals[0];
     const auto text = read_file(path);
@@ -188,7 +194,7 @@
          .max_operands = 1,
          .summary = "check a file without any running process",
          .examples = {"jacinthvane check settings.toml", "jacinthvane check fleet.toml --kind fleet"},
-         .options = {{"kind", "settings|fleet|runbook", "what the file holds (default: settings)"}},
+         .options = {{"kind", "settings|fleet|runbook|keys", "what the file holds (default: settings)"}},
          .calls_admin = false,
          .run = check_file},
         {.command = "errors",
