--- a/src/process/lock_order.hpp
+++ b/src/process/lock_order.hpp
@@ -5,6 +5,7 @@
 // Every lock of the process, in the order in which a thread may take them: a thread that holds a lock may
 // take only locks listed further down. ordered_mutex checks this in debug builds.
 enum class lock_rank : int {
+    config_install = 5,
     fleet_config = 10,
     members = 20,
     ownership = 30,
