--- a/src/process/lock_order.hpp
+++ b/src/process/lock_order.hpp
@@ -6,6 +6,7 @@
 // take only locks listed further down. ordered_mutex checks this in debug builds.
 enum class lock_rank : int {
     admin = 5,
+    config_install = 7,
     fleet_config = 10,
     members = 20,
     ownership = 30,
