Put the entry process together: requests, jobs, peers and clients

Cause: the services exist and no process uses them. Change: request_service (claims, routes, queue, retries), job_service (accept, drive, report), peer_handler, task_locator, caller_handler, entry_process with its state dump and the serve command; a load client and the invariants as code; the stand-in's main program. Room for a job is reserved at its owner before the generation is recorded, and given back unless the start follows, so that a start that was recorded is never refused for lack of room in between.

--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -1,14 +1,141 @@
 #include "command/serve_command.hpp"
 
+#include <chrono>
+#include <csignal>
 #include <cstdio>
+#include <exception>
+#include <string>
+#include <thread>
+#include <utility>
+#include <variant>
 
+#include <glog/logging.h>
+#include <boost/asio/signal_set.hpp>
+#include <cxxopts.hpp>
+
+#include "command/entry_process.hpp"
+#include "connection/settings_file.hpp"
+#include "connection/spawn_task.hpp"
+#include "process/digest.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane {
 
-int run_serve(const std::vector<std::string>& /*arguments*/) {
-    std::fputs("jacinthvane: serve is not linked in this build\n", stderr);
-    return get_answer(error_kind::internal).exit_code;
+namespace {
+
+constexpr std::string_view examples = R"(
+Examples:
+  jacinthvane serve --settings /etc/jacinthvane/entry.toml
+  jacinthvane serve --settings entry.toml --set listen.callers=127.0.0.1:8080
+)";
+
+// Seconds since 1970 give each start of a VM's process a higher incarnation than the one before.
+std::uint64_t make_incarnation() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count());
+}
+
+process_surroundings make_surroundings(asio::io_context& context, const settings& given,
+                                       const key_ring& keys) {
+    process_surroundings surroundings;
+    surroundings.store = std::make_shared<http_store>(context, given.store_address);
+    surroundings.vm_list = std::make_shared<http_vm_list>(context, given.vm_list_address);
+    surroundings.upstreams = std::make_shared<http_upstream>(context, upstream_connections{});
+    surroundings.keys = keys;
+    surroundings.incarnation = make_incarnation();
+    surroundings.seed = make_hash(given.vm.get() + std::to_string(surroundings.incarnation));
+    return surroundings;
+}
+
+awaitable<void> dump_on_signal(asio::io_context& context, entry_process& process) {
+    asio::signal_set signals(context, SIGUSR1);
+    while (true) {
+        boost::system::error_code error;
+        co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        const auto state = process.dump_state();
+        std::fwrite(state.data(), 1, state.size(), stdout);
+        std::fflush(stdout);
+    }
+}
+
+awaitable<void> stop_on_signal(asio::io_context& context, entry_process& process,
+                               std::chrono::milliseconds drain, int& exit_code) {
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    boost::system::error_code error;
+    co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    const bool is_clean = co_await process.stop_gracefully(std::chrono::steady_clock::now() + drain);
+    exit_code = is_clean ? 0 : get_answer(error_kind::deadline_exceeded).exit_code;
+    context.stop();
+}
+
+int run_process(const settings& given, const key_ring& keys) {
+    asio::io_context context(static_cast<int>(given.threads));
+    entry_process process(context, given, make_surroundings(context, given, keys));
+    if (const auto status = process.start(); !status.ok()) {
+        std::fprintf(stderr, "jacinthvane: %s\n", std::string(status.message()).c_str());
+        return get_answer(get_error_kind(status)).exit_code;
+    }
+    int exit_code = 0;
+    spawn_task(context, "dump_on_signal", dump_on_signal(context, process));
+    spawn_task(context, "stop_on_signal", stop_on_signal(context, process, given.timeouts.drain, exit_code));
+    std::vector<std::thread> threads;
+    for (std::int64_t i = 1; i < given.threads; ++i) {
+        threads.emplace_back([&context] { context.run(); });
+    }
+    context.run();
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    return exit_code;
+}
+
+}  // namespace
+
+int run_serve(const std::vector<std::string>& arguments) {
+    cxxopts::Options options("jacinthvane serve", "Runs one entry process until SIGTERM.");
+    options.add_options()("settings", "settings file (TOML)", cxxopts::value<std::string>())(
+        "set", "KEY=VALUE over the file and the environment; may be repeated",
+        cxxopts::value<std::vector<std::string>>())("h,help", "show this help");
+    const int bad_usage = get_answer(error_kind::bad_request).exit_code;
+    std::vector<const char*> argv = {"jacinthvane serve"};
+    for (const auto& argument : arguments) {
+        argv.push_back(argument.c_str());
+    }
+    std::string path;
+    std::vector<std::string> overrides;
+    try {
+        const auto parsed = options.parse(static_cast<int>(argv.size()), argv.data());
+        if (parsed.count("help") != 0) {
+            std::printf("%s%s", options.help().c_str(), std::string(examples).c_str());
+            return 0;
+        }
+        path = parsed.count("settings") != 0 ? parsed["settings"].as<std::string>() : std::string();
+        overrides = parsed.count("set") != 0 ? parsed["set"].as<std::vector<std::string>>() : overrides;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "jacinthvane serve: %s; see jacinthvane serve --help\n", error.what());
+        return bad_usage;
+    }
+    const auto environment = read_environment();
+    const auto result = read_settings(path, environment, overrides);
+    if (const auto* problems = std::get_if<std::vector<settings_problem>>(&result)) {
+        for (const auto& problem : *problems) {
+            std::fprintf(stderr, "%s\n", problem.to_string().c_str());
+        }
+        return get_answer(error_kind::bad_configuration).exit_code;
+    }
+    const auto& given = std::get<settings>(result);
+    const auto keys = key_ring::read_file(given.key_file);
+    if (!keys.ok()) {
+        std::fprintf(stderr, "jacinthvane: %s\n", std::string(keys.status().message()).c_str());
+        return get_answer(error_kind::bad_configuration).exit_code;
+    }
+    google::InitGoogleLogging("jacinthvane");
+    FLAGS_logtostderr = true;
+    return run_process(given, *keys);
 }
 
 }  // namespace jacinthvane
--- a/src/connection/caller_codec.cpp
+++ b/src/connection/caller_codec.cpp
@@ -162,9 +162,10 @@
     if (!key.empty()) {
         result.key = idempotency_key(std::string(key));
     }
-    // Runs of one key share a task id, so an upstream's list shows at once whether the key is running.
-    result.spec.task =
-        task_id(result.key ? "k-" + make_digest(*team + "\n" + std::string(key)) : request.get());
+    // Only work that must not run twice shares a task id between its repeats; an idempotent request that is
+    // sent twice may run twice, also at the same time, and upstreams need to tell the two apart.
+    const bool is_once = result.key && (*is_non_idempotent || work_class == task_class::batch);
+    result.spec.task = task_id(is_once ? "k-" + make_digest(*team + "\n" + std::string(key)) : request.get());
     return result;
 }
 
--- a/src/connection/peer_codec.cpp
+++ b/src/connection/peer_codec.cpp
@@ -69,14 +69,14 @@
 template <class Archive>
 void serialize(Archive& archive, claim_key_reply& item) {
     serialize_enum(archive, item.outcome, claim_outcome::claimant_gone);
-    archive(item.generation);
+    archive(item.claim_number, item.generation);
     serialize_enum(archive, item.run, run_knowledge::ran);
     archive(item.answer);
 }
 
 template <class Archive>
 void serialize(Archive& archive, settle_key_request& item) {
-    archive(item.shard, item.team, item.key, item.generation, item.claimant);
+    archive(item.shard, item.team, item.key, item.claim_number, item.generation, item.claimant);
     serialize_enum(archive, item.run, run_knowledge::ran);
     archive(item.answer);
 }
@@ -99,12 +99,17 @@
 template <class Archive>
 void serialize(Archive& archive, job_reply& item) {
     archive(item.job);
-    serialize_enum(archive, item.state, work_state::parked);
+    serialize_enum(archive, item.state, work_state::lost);
     archive(item.generation, item.upstream);
     serialize_enum(archive, item.run, run_knowledge::ran);
     archive(item.reason, item.evictions, item.failures, item.answer);
 }
 
+template <class Archive>
+void serialize(Archive& archive, reserve_task_request& item) {
+    archive(item.start);
+}
+
 template <class Archive>
 void serialize(Archive& archive, start_task_request& item) {
     archive(item.start, item.upstream);
@@ -112,7 +117,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, stop_task_request& item) {
-    archive(item.upstream, item.task, item.generation);
+    archive(item.upstream, item.task, item.generation, item.hops);
 }
 
 template <class Archive>
@@ -122,20 +127,20 @@
 
 template <class Archive>
 void serialize(Archive& archive, query_task_request& item) {
-    archive(item.upstream, item.task, item.generation);
+    archive(item.upstream, item.task, item.generation, item.hops);
 }
 
 template <class Archive>
 void serialize(Archive& archive, task_reply& item) {
     archive(item.upstream, item.task, item.generation);
-    serialize_enum(archive, item.state, work_state::parked);
+    serialize_enum(archive, item.state, work_state::lost);
     archive(item.checkpoint, item.answer);
 }
 
 template <class Archive>
 void serialize(Archive& archive, task_report_request& item) {
     archive(item.job, item.upstream, item.task, item.generation);
-    serialize_enum(archive, item.state, work_state::parked);
+    serialize_enum(archive, item.state, work_state::lost);
     archive(item.checkpoint, item.answer, item.reason);
 }
 
--- a/src/connection/peer_message.cpp
+++ b/src/connection/peer_message.cpp
@@ -10,6 +10,7 @@
     }
     peer_lane operator()(const submit_job_request&) const { return peer_lane::bulk; }
     peer_lane operator()(const query_job_request&) const { return peer_lane::bulk; }
+    peer_lane operator()(const reserve_task_request&) const { return peer_lane::bulk; }
     peer_lane operator()(const start_task_request&) const { return peer_lane::bulk; }
     peer_lane operator()(const task_report_request&) const { return peer_lane::bulk; }
     // Keys, stops, leaving upstreams and configuration queries are small, and others wait for them.
--- a/src/connection/peer_message.hpp
+++ b/src/connection/peer_message.hpp
@@ -27,7 +27,9 @@
     failed,
     stopped,
     cancelled,
-    parked
+    parked,
+    // The attempt cannot be running any more, and nothing is known of its end.
+    lost
 };
 
 // Runs a task on an upstream that the receiver owns and answers with the task's own answer.
@@ -65,6 +67,7 @@
 
 struct claim_key_reply {
     claim_outcome outcome = claim_outcome::granted;
+    std::uint64_t claim_number = 0;
     std::uint64_t generation = 1;
     // The rest describes a settled key. An answer that was too large to keep is absent.
     run_knowledge run = run_knowledge::not_run;
@@ -77,6 +80,7 @@
     std::uint32_t shard = 0;
     team_id team;
     idempotency_key key;
+    std::uint64_t claim_number = 0;
     std::uint64_t generation = 1;
     process_id claimant;
     run_knowledge run = run_knowledge::not_run;
@@ -129,7 +133,15 @@
     bool operator==(const job_reply&) const = default;
 };
 
-// Starts a generation of a job on an upstream that the receiver owns; an empty upstream lets it choose.
+// Reserves room for a generation of a job on an upstream of the receiver. The receiver gives the room back
+// unless start_task follows within a few seconds.
+struct reserve_task_request {
+    task_start start;
+
+    bool operator==(const reserve_task_request&) const = default;
+};
+
+// Starts a generation of a job on an upstream of the receiver on which room was reserved.
 struct start_task_request {
     task_start start;
     upstream_id upstream;
@@ -141,6 +153,8 @@
     upstream_id upstream;
     task_id task;
     std::uint64_t generation = 1;
+    // Number of entry processes that have passed the request on; bounds loops between stale tables.
+    std::uint32_t hops = 0;
 
     bool operator==(const stop_task_request&) const = default;
 };
@@ -157,11 +171,13 @@
     upstream_id upstream;
     task_id task;
     std::uint64_t generation = 1;
+    // Number of entry processes that have passed the request on; bounds loops between stale tables.
+    std::uint32_t hops = 0;
 
     bool operator==(const query_task_request&) const = default;
 };
 
-// Answers start_task, stop_task, checkpoint_task and query_task.
+// Answers reserve_task, start_task, stop_task, checkpoint_task and query_task.
 struct task_reply {
     upstream_id upstream;
     task_id task;
@@ -224,10 +240,11 @@
     bool operator==(const error_reply&) const = default;
 };
 
-using peer_request = std::variant<dispatch_request, claim_key_request, settle_key_request, submit_job_request,
-                                  query_job_request, cancel_job_request, start_task_request,
-                                  stop_task_request, checkpoint_task_request, query_task_request,
-                                  task_report_request, fetch_config_request, announce_leaving_request>;
+using peer_request =
+    std::variant<dispatch_request, claim_key_request, settle_key_request, submit_job_request,
+                 query_job_request, cancel_job_request, start_task_request, stop_task_request,
+                 checkpoint_task_request, query_task_request, task_report_request, fetch_config_request,
+                 announce_leaving_request, reserve_task_request>;
 
 using peer_reply = std::variant<error_reply, accepted_reply, dispatch_reply, claim_key_reply, job_reply,
                                 task_reply, fetch_config_reply>;
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -33,7 +33,7 @@
     1e-6, 1e-5, 1e-4, 0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 6.9, 15, 60, 600, 3600};
 
 static_assert(decision_names.size() == static_cast<std::size_t>(decision::task_exception) + 1);
-static_assert(store_call_names.size() == static_cast<std::size_t>(store_call::watch) + 1);
+static_assert(store_call_names.size() == static_cast<std::size_t>(store_call_kind::watch) + 1);
 static_assert(store_result_names.size() == static_cast<std::size_t>(store_result::unknown) + 1);
 static_assert(time_names.size() == static_cast<std::size_t>(measured_time::takeover) + 1);
 
@@ -149,7 +149,7 @@
     refused_.at(index_of(kind))->Increment();
 }
 
-void metrics::count_store_call(store_call call, store_result result) {
+void metrics::count_store_call(store_call_kind call, store_result result) {
     store_calls_.at(index_of(call)).at(index_of(result))->Increment();
 }
 
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -54,7 +54,7 @@
     task_exception,
 };
 
-enum class store_call { get, compare_and_swap, remove, grant_lease, renew_lease, release_lease, watch };
+enum class store_call_kind { get, compare_and_swap, remove, grant_lease, renew_lease, release_lease, watch };
 enum class store_result { ok, absent, conflict, refused, unavailable, unknown };
 enum class link_direction { sent, received };
 
@@ -82,7 +82,7 @@
     void count(decision what, std::uint64_t amount = 1);
     // A request that was not answered with success, by error kind.
     void count_refused(error_kind kind);
-    void count_store_call(store_call call, store_result result);
+    void count_store_call(store_call_kind call, store_result result);
     void count_link_bytes(link_direction direction, task_class work_class, std::uint64_t bytes);
     void count_journal_records(std::uint64_t records, std::uint64_t bytes);
     void observe(measured_time what, double seconds);
@@ -103,7 +103,7 @@
 private:
     static constexpr std::size_t decisions = static_cast<std::size_t>(decision::task_exception) + 1;
     static constexpr std::size_t error_kinds = static_cast<std::size_t>(error_kind::internal) + 1;
-    static constexpr std::size_t store_calls = static_cast<std::size_t>(store_call::watch) + 1;
+    static constexpr std::size_t store_calls = static_cast<std::size_t>(store_call_kind::watch) + 1;
     static constexpr std::size_t store_results = static_cast<std::size_t>(store_result::unknown) + 1;
     static constexpr std::size_t times = static_cast<std::size_t>(measured_time::takeover) + 1;
 
--- /dev/null
+++ b/src/request/peer_handler.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "connection/asio.hpp"
+#include "connection/peer_message.hpp"
+#include "process/ordered_mutex.hpp"
+#include "request/capacity_service.hpp"
+#include "request/job_service.hpp"
+#include "request/request_service.hpp"
+#include "request/task_locator.hpp"
+
+namespace jacinthvane {
+
+// Serves what other entry processes ask of this one.
+class peer_handler {
+public:
+    // How the parts that are not services answer.
+    struct hooks {
+        std::function<peer_reply(const fetch_config_request&)> fetch_config;
+        std::function<void(const announce_leaving_request&)> note_leaving;
+    };
+
+    peer_handler(asio::io_context& context, request_service& requests, job_service& jobs,
+                 task_locator& locator, std::shared_ptr<capacity_service> capacity, hooks given);
+
+    awaitable<peer_reply> handle(peer_request request);
+
+private:
+    struct visitor;
+    using attempt = std::pair<task_id, std::uint64_t>;
+
+    // Gives reserved room back unless the start came in time.
+    awaitable<void> expire_reservation(task_start start, upstream_id upstream);
+    // Returns false if no reservation is open, so that the room may be given to another task already.
+    bool take_reservation(const task_start& start);
+
+    asio::io_context& context_;
+    request_service& requests_;
+    job_service& jobs_;
+    task_locator& locator_;
+    std::shared_ptr<capacity_service> capacity_;
+    const hooks hooks_;
+    ordered_mutex mutex_{lock_rank::pending_answers};
+    std::set<attempt> reservations_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/request/process_hooks.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "connection/asio.hpp"
+#include "connection/peer_message.hpp"
+#include "process/clock.hpp"
+#include "process/fault_point.hpp"
+#include "process/ids.hpp"
+#include "process/task_types.hpp"
+#include "request/routing.hpp"
+
+namespace jacinthvane {
+
+// What the request path asks of the rest of the process: who else is there, and what the own upstreams can
+// take. The composition of the process fills it in; tests fill in fakes.
+struct process_hooks {
+    process_id self;
+    location place;
+    // Whether the process is known to be alive; a process that is unknown is not.
+    std::function<bool(const process_id&)> is_live;
+    // Live entry processes other than this one that take new work.
+    std::function<std::vector<route_target>()> get_peers;
+    // The home of a shard, or nothing if it is this process.
+    std::function<std::optional<route_target>(std::size_t)> find_home;
+    std::function<awaitable<absl::StatusOr<peer_reply>>(std::string, peer_request, time_point)> call_peer;
+    // Runs an urgent task on an upstream of this process.
+    std::function<awaitable<absl::StatusOr<task_answer>>(task_start)> run_urgent;
+    // Reserves room for a batch task on an upstream of this process; nothing is sent yet.
+    std::function<absl::StatusOr<upstream_id>(const task_start&)> reserve_batch;
+    // Starts a batch task for which room is reserved.
+    std::function<awaitable<absl::Status>(task_start, upstream_id)> start_reserved;
+    std::function<void(const task_start&, const upstream_id&)> cancel_reservation;
+    // What became of a task on an upstream; asks the owner.
+    std::function<awaitable<absl::StatusOr<task_reply>>(query_task_request)> query_task;
+    std::function<awaitable<absl::StatusOr<task_reply>>(stop_task_request)> stop_task;
+    // Whether any upstream of the whole system is large enough.
+    std::function<bool(const resource_vector&)> would_ever_fit;
+    // Named steps, for tests that cause faults.
+    step_observer observer;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/request/task_locator.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "connection/asio.hpp"
+#include "connection/peer_message.hpp"
+#include "request/capacity_service.hpp"
+#include "request/task_fate.hpp"
+
+namespace jacinthvane {
+
+// Where other entry processes can be asked about upstreams.
+struct locator_hooks {
+    process_id self;
+    // The peer address of a live process, or an empty string.
+    std::function<std::string(const process_id&)> find_address;
+    // Peer addresses of live processes of a failure domain, without this one.
+    std::function<std::vector<std::string>(const failure_domain_id&)> get_addresses;
+    std::function<awaitable<absl::StatusOr<peer_reply>>(std::string, peer_request, time_point)> call_peer;
+};
+
+// Finds the owner of an upstream and asks it what became of a task there, or to stop it. Any process may ask;
+// the question is passed on at most twice: to the upstream's failure domain, and there to the owner.
+class task_locator {
+public:
+    task_locator(std::shared_ptr<capacity_service> capacity, locator_hooks hooks);
+
+    // Errors: peer_unreachable, peer_lost, not_found (no process says that it owns the upstream).
+    awaitable<absl::StatusOr<task_reply>> query(query_task_request request);
+    awaitable<absl::StatusOr<task_reply>> stop(stop_task_request request);
+
+private:
+    awaitable<absl::StatusOr<task_reply>> ask_others(upstream_id upstream, std::uint32_t hops,
+                                                     peer_request request);
+    awaitable<absl::StatusOr<task_reply>> stop_here(stop_task_request request);
+    std::vector<std::string> get_targets(const upstream_id& upstream) const;
+    bool is_owned_here(const upstream_id& upstream) const;
+
+    std::shared_ptr<capacity_service> capacity_;
+    const locator_hooks hooks_;
+};
+
+// Says what a fate means for the home of a job. An attempt that cannot be running any more, and of whose end
+// nothing is known, is lost.
+task_reply make_task_reply(const upstream_id& upstream, const task_id& task, std::uint64_t generation,
+                           const task_fate& fate, time_point now);
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/standin/load_client.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "connection/asio.hpp"
+#include "connection/async_signal.hpp"
+#include "connection/http_client.hpp"
+#include "process/ordered_mutex.hpp"
+#include "standin/invariant_check.hpp"
+
+namespace jacinthvane {
+
+// A mix of requests, sent at a given rate whether or not earlier ones were answered, as independent clients
+// do.
+struct load_plan {
+    // Addresses of the entry processes; each request goes to one of them, as behind a balancer.
+    std::vector<std::string> addresses;
+    std::int64_t requests_per_second = 100;
+    std::chrono::milliseconds duration{5000};
+    std::chrono::milliseconds request_deadline{8000};
+    std::uint64_t seed = 1;
+    // Shares of the requests in thousandths; the rest are idempotent urgent requests (imports).
+    std::int64_t merge_permille = 200;
+    std::int64_t job_permille = 50;
+    // Share of the merges that are sent a second time with the same key, to another process.
+    std::int64_t repeat_permille = 500;
+    std::int64_t import_run_ms = 20;
+    std::int64_t merge_run_ms = 30;
+    std::int64_t job_run_ms = 1000;
+    std::string team = "sfax";
+
+    bool operator==(const load_plan&) const = default;
+};
+
+// How long an answered request took, by kind, and what it was told.
+struct told_request {
+    told_outcome outcome;
+    std::string error_kind;
+    std::chrono::microseconds took{0};
+
+    bool operator==(const told_request&) const = default;
+};
+
+// Sends the requests of a plan and keeps what each client was told.
+class load_client {
+public:
+    load_client(asio::io_context& context, load_plan plan);
+
+    // Sends everything and returns when every request was answered or has passed its deadline.
+    awaitable<void> run();
+
+    // Asks for each accepted job until it has ended or the deadline passes.
+    awaitable<void> wait_for_jobs(time_point deadline);
+
+    std::vector<told_request> get_told() const;
+    std::vector<accepted_job> get_jobs() const;
+
+    // A table of what callers were told, by kind, status and knowledge of the run.
+    std::string format_told() const;
+
+private:
+    struct planned_request {
+        std::string kind;
+        std::string key;
+        bool is_non_idempotent = false;
+        bool is_job = false;
+        std::int64_t run_ms = 0;
+        std::int64_t answer_bytes = 0;
+    };
+
+    planned_request plan_next();
+    std::string pick_address();
+    void start_request(const planned_request& planned);
+    awaitable<void> send_request(planned_request planned, std::string address);
+    void record(told_request told);
+    awaitable<std::string> fetch_job_state(job_id job);
+
+    asio::io_context& context_;
+    load_plan plan_;
+    http_client client_;
+    std::mt19937_64 random_;
+    std::uint64_t next_number_ = 0;
+    mutable ordered_mutex mutex_{lock_rank::standin};
+    std::vector<told_request> told_;
+    std::vector<accepted_job> jobs_;
+    std::size_t in_flight_ = 0;
+    async_signal answered_;
+};
+
+}  // namespace jacinthvane
