--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -22,6 +22,8 @@
         "workers", "Runs at the same time", cxxopts::value<std::size_t>()->default_value("4"))(
         "folder", "Folder for JSON lines, tables and plots",
         cxxopts::value<std::string>()->default_value(""))(
+        "name", "First part of the names of the files",
+        cxxopts::value<std::string>()->default_value("policy"))(
         "no-overload", "Leaves out the runs above capacity")("help", "Prints this text");
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
@@ -33,6 +35,7 @@
                                .seeds = parsed["seeds"].as<int>(),
                                .workers = parsed["workers"].as<std::size_t>(),
                                .folder = parsed["folder"].as<std::string>(),
+                               .name = parsed["name"].as<std::string>(),
                                .has_overload = parsed.count("no-overload") == 0};
     std::erase(bench.sites, "");
     return run_policy_bench(bench);
--- a/experiment/policy_bench.hpp
+++ b/experiment/policy_bench.hpp
@@ -14,6 +14,8 @@
     std::size_t workers = 4;
     // Where results are written: JSON lines, SVG plots and the generated tables. Empty writes none.
     std::string folder;
+    // First part of the names of the files.
+    std::string name = "policy";
     bool has_overload = true;
 };
 
--- a/experiment/policy_run.hpp
+++ b/experiment/policy_run.hpp
@@ -24,6 +24,8 @@
     double size_divisor = 1;
     double deadline_s = 10;
     double length_s = 900;
+    // Requests that arrive before this are not counted.
+    double warm_up_s = 60;
     placement_weights weights;
 };
 
--- a/experiment/result_table.hpp
+++ b/experiment/result_table.hpp
@@ -25,8 +25,8 @@
     // Prints the table to the terminal.
     void print() const;
 
-    // Writes policy.jsonl, policy-*.svg and policy-tables.md into the folder.
-    void write(const std::string& folder) const;
+    // Writes NAME.jsonl, NAME-tables.md and a plot for each site and value into the folder.
+    void write(const std::string& folder, const std::string& name) const;
 
 private:
     std::vector<result_row> rows_;
--- a/src/process/candidate_index.cpp
+++ b/src/process/candidate_index.cpp
@@ -23,8 +23,8 @@
 
 // A run of group members, seen as one long list for picking.
 struct member_list {
-    const std::vector<std::uint32_t>* members = nullptr;
-    std::size_t end = 0;
+    const std::vector<std::uint32_t>* members;
+    std::size_t end;
 };
 
 }  // namespace
--- a/src/process/interference_model.cpp
+++ b/src/process/interference_model.cpp
@@ -185,15 +185,16 @@
 
 void interference_model::publish(time_point now) {
     const std::size_t count = classes_.size();
-    std::vector<pair_effect> pairs;
-    pairs.reserve(count * count);
+    std::vector<pair_effect> pairs(count * count);
     for (std::size_t row = 0; row < count; ++row) {
         for (std::size_t column = 0; column < count; ++column) {
             estimate one = pairs_[row * settings_.kind_limit + column];
             fade(one, now);
             const double prior = get_prior(static_cast<kind_index>(column));
             const double effect = blend(one.value, one.weight, prior, settings_.prior_weight);
-            pairs.push_back({.effect = static_cast<float>(effect), .weight = static_cast<float>(one.weight)});
+            pairs[row * count + column].effect = static_cast<float>(effect);
+            pairs[row * count + column].weight = static_cast<float>(one.weight);
+            pairs[column * count + row].reverse_effect = static_cast<float>(effect);
         }
     }
     snapshot_ = std::make_shared<const interference_snapshot>(count, std::move(pairs));
--- a/src/process/interference_snapshot.hpp
+++ b/src/process/interference_snapshot.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 namespace jacinthvane {
@@ -13,6 +15,8 @@
 struct pair_effect {
     // Natural logarithm of the factor by which one neighbour slows the task down.
     float effect = 0;
+    // The same for the neighbour beside the task. A placement needs both, and finds them in one place.
+    float reverse_effect = 0;
     // Number of recent reports behind the effect, decayed with their age.
     float weight = 0;
 
@@ -27,25 +31,25 @@
     interference_snapshot(std::size_t kind_count, std::vector<pair_effect> pairs)
         : kind_count_(kind_count), pairs_(std::move(pairs)) {}
 
-    // Returns the effect of one neighbour on the task. A kind that the model learnt of after this snapshot
-    // has no effect yet.
-    double get_effect(kind_index task, kind_index neighbour) const {
-        return is_known(task, neighbour) ? pairs_[task * kind_count_ + neighbour].effect : 0.0;
+    // Returns what is known of the task beside the neighbour. Of a kind that the model learnt of after this
+    // snapshot nothing is known yet.
+    const pair_effect& get_pair(kind_index task, kind_index neighbour) const {
+        static constexpr pair_effect unknown;
+        const bool is_known = task < kind_count_ && neighbour < kind_count_;
+        return is_known ? pairs_[task * kind_count_ + neighbour] : unknown;
     }
 
+    double get_effect(kind_index task, kind_index neighbour) const {
+        return get_pair(task, neighbour).effect;
+    }
     double get_weight(kind_index task, kind_index neighbour) const {
-        return is_known(task, neighbour) ? pairs_[task * kind_count_ + neighbour].weight : 0.0;
+        return get_pair(task, neighbour).weight;
     }
-
     std::size_t get_kind_count() const { return kind_count_; }
 
     bool operator==(const interference_snapshot&) const = default;
 
 private:
-    bool is_known(kind_index task, kind_index neighbour) const {
-        return task < kind_count_ && neighbour < kind_count_;
-    }
-
     std::size_t kind_count_ = 0;
     std::vector<pair_effect> pairs_;
 };
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -206,11 +206,8 @@
     return request;
 }
 
-void admission_queue::record_take(time_point now, task_class work_class, std::size_t waiting_before) {
+void admission_queue::record_take(time_point now, task_class work_class) {
     auto& rate = rates_[get_position(work_class)];
-    if (waiting_before < 2 && !rate.busy_since) {
-        return;
-    }
     const double decay = 1.0 - 1.0 / remembered_takes;
     const double gap = rate.busy_since ? std::chrono::duration<double>(now - *rate.busy_since).count() : 0.0;
     rate.takes = rate.takes * decay + 1;
@@ -235,13 +232,12 @@
         for (const auto& [key, ticket] : queue->waiting[position]) {
             entry& one = entries_.at(ticket);
             if (can_start(one.request)) {
-                const auto waiting_before = counts_[position];
                 for (auto* other : passed) {
                     ++other->overtaken;
                 }
                 served_floor_ = std::max(served_floor_, queue->served);
                 queue->served += get_cost(one.request) / queue->weight;
-                record_take(now, work_class, waiting_before);
+                record_take(now, work_class);
                 return remove(ticket);
             }
             if (one.overtaken >= overtaken_limit || ++examined >= examined_limit) {
--- a/src/request/admission.hpp
+++ b/src/request/admission.hpp
@@ -133,7 +133,7 @@
     std::optional<waiting_request> shed_one();
     std::optional<waiting_request> take_from(task_class work_class, time_point now,
                                              const std::function<bool(const waiting_request&)>& can_start);
-    void record_take(time_point now, task_class work_class, std::size_t waiting_before);
+    void record_take(time_point now, task_class work_class);
     waiting_request remove(admission_ticket ticket);
     void move_expired(time_point now);
 
--- a/src/request/placement.cpp
+++ b/src/request/placement.cpp
@@ -27,13 +27,16 @@
 double get_loss(const interference_aware_placement& policy, const interference_snapshot& interference,
                 const placement_request& request, const candidate& one) {
     double own_effect = 0;
-    double neighbour_loss = 0;
+    double urgent_effect = 0;
+    double batch_effect = 0;
     for (const auto& group : one.neighbours) {
-        own_effect += group.count * interference.get_effect(request.kind, group.kind);
-        const double share = group.work_class == task_class::urgent ? policy.urgent_neighbour_share : 1.0;
-        neighbour_loss += group.count * share * get_class_weight(policy.weights, group.work_class) *
-                          interference.get_effect(group.kind, request.kind);
+        const auto& pair = interference.get_pair(request.kind, group.kind);
+        own_effect += group.count * pair.effect;
+        (group.work_class == task_class::urgent ? urgent_effect : batch_effect) +=
+            group.count * pair.reverse_effect;
     }
+    const double neighbour_loss = policy.weights.tail * policy.urgent_neighbour_share * urgent_effect +
+                                  policy.weights.throughput * batch_effect;
     const double own_weight = get_class_weight(policy.weights, request.work_class);
     const auto used_memory = policy.is_measured_memory_counted
                                  ? std::max(one.committed.get_memory_mb(), one.measured_memory_mb)
--- a/src/request/placement.hpp
+++ b/src/request/placement.hpp
@@ -43,7 +43,7 @@
 // The sample with the lowest predicted loss for the new task and for the tasks that already run there.
 struct interference_aware_placement {
     placement_weights weights{};
-    std::size_t samples = 16;
+    std::size_t samples = 12;
     // Weight of the committed share against a slowdown by a factor of e.
     double committed = 0.5;
     // Share of batch placements that ignore the score, so that pairs never seen together are measured.
