--- a/src/request/capacity_ownership.cpp
+++ b/src/request/capacity_ownership.cpp
@@ -2,6 +2,7 @@
 // slices.
 #include <algorithm>
 #include <mutex>
+#include <tuple>
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -39,7 +40,7 @@
 }
 
 bool is_not_found(const absl::Status& status) {
-    return get_error_kind(status) == error_kind::not_found;
+    return !status.ok() && get_error_kind(status) == error_kind::not_found;
 }
 
 }  // namespace
@@ -48,6 +49,10 @@
     return "tenure/" + settings_.place.failure_domain.get() + "/" + vm.get();
 }
 
+std::string capacity_service::get_ownership_path() const {
+    return "ownership/" + settings_.place.failure_domain.get();
+}
+
 awaitable<void> capacity_service::keep_term() {
     const auto self = shared_from_this();
     const auto jitter = draw_jitter(settings_.startup_jitter);
@@ -128,20 +133,23 @@
     }
     const auto sent_at = std::chrono::steady_clock::now();
     auto status = co_await store_.renew_lease(lease, sent_at + settings_.store_timeout);
-    std::lock_guard lock(mutex_);
-    if (lease_.lease != lease) {
-        co_return status;
-    }
-    if (status.ok()) {
-        lease_.renewed_at = sent_at;
-        if (lease_.is_bound) {
+    {
+        std::lock_guard lock(mutex_);
+        if (lease_.lease != lease) {
+            co_return status;
+        }
+        if (status.ok()) {
+            lease_.renewed_at = sent_at;
+        }
+        if (status.ok() && lease_.is_bound) {
             tenure_ = tenure_.renew(sent_at);
         }
-    } else if (is_not_found(status)) {
-        LOG(WARNING) << "event=lease_lapsed process=" << settings_.process.to_string()
-                     << " lease=" << lease.id;
+        if (!is_not_found(status)) {
+            co_return status;
+        }
         lease_ = {};
     }
+    LOG(WARNING) << "event=lease_lapsed process=" << settings_.process.to_string() << " lease=" << lease.id;
     co_return status;
 }
 
@@ -169,25 +177,24 @@
 }
 
 awaitable<void> capacity_service::run_ownership_round() {
-    const auto path = "ownership/" + settings_.place.failure_domain.get();
-    count(&capacity_counters::store_calls);
-    const auto stored = co_await store_.get(path, std::chrono::steady_clock::now() + settings_.store_timeout);
-    auto value = make_ownership(settings_.place.failure_domain);
+    ownership value;
     std::uint64_t revision = 0;
-    if (stored.ok()) {
-        auto decoded = decode_ownership(stored->bytes);
-        if (!decoded.ok()) {
-            LOG(ERROR) << "event=ownership_unreadable path=" << path << " error=\""
-                       << decoded.status().message() << "\"";
+    bool is_known = false;
+    {
+        std::lock_guard lock(mutex_);
+        is_known = is_watched_ && value_.has_value();
+        if (is_known) {
+            value = *value_;
+            revision = revision_;
+        }
+    }
+    if (!is_known) {
+        auto read = co_await read_ownership();
+        if (!read.ok()) {
             co_return;
         }
-        value = *std::move(decoded);
-        revision = stored->revision;
-    } else if (!is_not_found(stored.status())) {
-        count(&capacity_counters::store_failures);
-        co_return;
+        std::tie(value, revision) = *std::move(read);
     }
-    adopt_ownership(value, revision);
     std::map<process_id, member_check> lapsed;
     for (const auto& member : pick_members_to_check(value)) {
         const auto checked = co_await check_member(member);
@@ -211,6 +218,66 @@
     co_await write_ownership(std::move(desired), revision);
 }
 
+awaitable<absl::StatusOr<std::pair<ownership, std::uint64_t>>> capacity_service::read_ownership() {
+    count(&capacity_counters::store_calls);
+    const auto path = get_ownership_path();
+    const auto stored = co_await store_.get(path, std::chrono::steady_clock::now() + settings_.store_timeout);
+    if (!stored.ok() && !is_not_found(stored.status())) {
+        count(&capacity_counters::store_failures);
+        co_return stored.status();
+    }
+    auto value = make_ownership(settings_.place.failure_domain);
+    std::uint64_t revision = 0;
+    if (stored.ok()) {
+        auto decoded = decode_ownership(stored->bytes);
+        if (!decoded.ok()) {
+            LOG(ERROR) << "event=ownership_unreadable path=" << path << " error=\""
+                       << decoded.status().message() << "\"";
+            co_return decoded.status();
+        }
+        value = *std::move(decoded);
+        revision = stored->revision;
+    }
+    adopt_ownership(value, revision);
+    co_return std::pair(std::move(value), revision);
+}
+
+awaitable<void> capacity_service::watch_ownership() {
+    const auto self = shared_from_this();
+    const auto path = get_ownership_path();
+    while (!is_stopping_) {
+        std::uint64_t seen = 0;
+        {
+            std::lock_guard lock(mutex_);
+            seen = revision_;
+        }
+        const auto asked_at = std::chrono::steady_clock::now();
+        count(&capacity_counters::store_calls);
+        const auto stored = co_await store_.watch(path, seen, asked_at + settings_.watch_time);
+        auto value = stored.ok() && stored->revision > 0
+                         ? decode_ownership(stored->bytes)
+                         : absl::StatusOr<ownership>(make_error(error_kind::not_found, "no ownership value"));
+        if (value.ok()) {
+            adopt_ownership(*value, stored->revision);
+            std::lock_guard lock(mutex_);
+            is_watched_ = true;
+            continue;
+        }
+        if (!stored.ok()) {
+            count(&capacity_counters::store_failures);
+        }
+        {
+            std::lock_guard lock(mutex_);
+            is_watched_ = false;
+        }
+        // Without a watch the rounds read the value themselves.
+        if (!co_await wait_unless_stopping(std::max(asked_at, std::chrono::steady_clock::now()) +
+                                           settings_.ownership_interval)) {
+            co_return;
+        }
+    }
+}
+
 std::vector<process_id> capacity_service::pick_members_to_check(const ownership& value) {
     std::vector<process_id> others;
     for (const auto& member : value.members) {
@@ -354,7 +421,7 @@
 }
 
 awaitable<void> capacity_service::write_ownership(ownership value, std::uint64_t base_revision) {
-    const auto path = "ownership/" + settings_.place.failure_domain.get();
+    const auto path = get_ownership_path();
     auto bytes = encode_ownership(value);
     count(&capacity_counters::store_calls);
     const auto written =
@@ -372,6 +439,8 @@
     const auto kind = get_error_kind(written.status());
     const bool is_without_effect = kind == error_kind::store_unavailable || kind == error_kind::overloaded;
     std::lock_guard lock(mutex_);
+    // The next round reads the value instead of relying on the watch.
+    is_watched_ = false;
     // An earlier write of unknown outcome stays unknown until the value moves on.
     if (kind != error_kind::version_conflict && (!is_without_effect || unknown_base_ == base_revision)) {
         unknown_base_ = base_revision;
@@ -386,6 +455,8 @@
 void capacity_service::adopt_ownership(const ownership& value, std::uint64_t revision) {
     const auto& self = settings_.process;
     const auto now = std::chrono::steady_clock::now();
+    // Logged after the lock is released.
+    std::vector<std::string> events;
     {
         std::lock_guard lock(mutex_);
         if (revision < revision_) {
@@ -404,18 +475,22 @@
             tenure_ = tenure_.renew(lease_.renewed_at);
         }
         for (std::size_t slice = 0; slice < value.slices.size(); ++slice) {
-            adopt_slice(slice, value.slices[slice], now);
+            adopt_slice(slice, value.slices[slice], now, events);
         }
         std::erase_if(reservations_seen_, [&](const auto& entry) {
             const auto& reservation = value.slices[entry.first.first].reservation;
             return !reservation || reservation->holder != entry.first.second;
         });
     }
+    for (const auto& event : events) {
+        LOG(INFO) << "event=" << event;
+    }
     update_share(now);
     sync_upstreams();
 }
 
-void capacity_service::adopt_slice(std::size_t slice, const slice_record& record, time_point now) {
+void capacity_service::adopt_slice(std::size_t slice, const slice_record& record, time_point now,
+                                   std::vector<std::string>& events) {
     const auto held = held_.find(slice);
     if (record.owner != settings_.process) {
         if (held != held_.end()) {
@@ -440,8 +515,8 @@
                                                  .is_handing_over = false});
         lost_.erase(slice);
         count(&capacity_counters::slices_claimed);
-        LOG(INFO) << "event=slice_claimed slice=" << slice << " epoch=" << record.epoch
-                  << " reserved_permille=" << reserved;
+        events.push_back("slice_claimed slice=" + std::to_string(slice) + " epoch=" +
+                         std::to_string(record.epoch) + " reserved_permille=" + std::to_string(reserved));
         // Upstreams kept from an earlier epoch are closed until they have been listed again.
         for (auto& [id, owned] : owned_) {
             if (owned->slice == slice) {
@@ -473,7 +548,7 @@
         }
     }
     update_share(std::chrono::steady_clock::now());
-    const auto path = "ownership/" + settings_.place.failure_domain.get();
+    const auto path = get_ownership_path();
     bool is_done = false;
     while (!is_done) {
         const auto now = std::chrono::steady_clock::now();
--- a/src/request/capacity_service.cpp
+++ b/src/request/capacity_service.cpp
@@ -45,6 +45,7 @@
     spawn_task(context_, "keep_vm_list", keep_vm_list());
     spawn_task(context_, "keep_term", keep_term());
     spawn_task(context_, "keep_ownership", keep_ownership());
+    spawn_task(context_, "watch_ownership", watch_ownership());
     spawn_task(context_, "watch_upstreams", watch_upstreams());
 }
 
--- a/src/request/capacity_service.hpp
+++ b/src/request/capacity_service.hpp
@@ -138,6 +138,8 @@
     // Loops.
     awaitable<void> keep_term();
     awaitable<void> keep_ownership();
+    // Learns of changes of the ownership value at once, without reading all of it every second.
+    awaitable<void> watch_ownership();
     awaitable<void> keep_vm_list();
     awaitable<void> watch_upstreams();
     awaitable<void> visit_upstream(upstream_id upstream);
@@ -153,6 +155,8 @@
         std::optional<end_proof> proof;
     };
     awaitable<void> run_ownership_round();
+    awaitable<absl::StatusOr<std::pair<ownership, std::uint64_t>>> read_ownership();
+    std::string get_ownership_path() const;
     awaitable<absl::StatusOr<member_check>> check_member(process_id member);
     std::vector<process_id> pick_members_to_check(const ownership& value);
     std::optional<end_proof> find_proof(const process_id& process) const;
@@ -160,7 +164,8 @@
     void release_proved_reservations(ownership& value, time_point now);
     awaitable<void> write_ownership(ownership value, std::uint64_t base_revision);
     void adopt_ownership(const ownership& value, std::uint64_t revision);
-    void adopt_slice(std::size_t slice, const slice_record& record, time_point now);
+    void adopt_slice(std::size_t slice, const slice_record& record, time_point now,
+                     std::vector<std::string>& events);
     void sync_upstreams();
 
     // Upstreams.
@@ -211,6 +216,8 @@
     bool is_replaced_ = false;
     std::optional<ownership> value_;
     std::uint64_t revision_ = 0;
+    // Whether value_ is kept current by a watch.
+    bool is_watched_ = false;
     // Base revision of a write of unknown outcome. It can still take effect until the value moves on.
     std::optional<std::uint64_t> unknown_base_;
     std::map<std::size_t, held_slice> held_;
--- a/src/request/capacity_types.hpp
+++ b/src/request/capacity_types.hpp
@@ -25,6 +25,8 @@
     // A third of the lease time: two renewals can fail before the term lapses.
     std::chrono::milliseconds renew_interval{3000};
     std::chrono::milliseconds ownership_interval{1000};
+    // How long one watch of the ownership value waits.
+    std::chrono::milliseconds watch_time{15000};
     std::chrono::milliseconds vm_list_interval{1000};
     std::chrono::milliseconds list_interval{1000};
     std::chrono::milliseconds usage_interval{5000};
--- a/src/request/capacity_upstreams.cpp
+++ b/src/request/capacity_upstreams.cpp
@@ -172,7 +172,7 @@
     auto owned = find_owned(upstream);
     if (owned && !is_stopping_) {
         const auto permit = co_await list_limiter_.acquire(time_point::max());
-        co_await refresh(owned);
+        static_cast<void>(co_await refresh(owned));
     }
     owned = find_owned(upstream);
     if (owned && owned->is_answering && !is_stopping_) {
@@ -375,15 +375,17 @@
 }
 
 void capacity_service::clear_leaving(const upstream_id& upstream, time_point sent_at) {
-    std::lock_guard lock(mutex_);
-    const auto found = leaving_.find(upstream);
-    if (found == leaving_.end() || found->second.is_in_vm_list ||
-        sent_at < found->second.marked_at + leaving_mark_hold ||
-        vms_read_at_ < found->second.marked_at + leaving_mark_hold) {
-        return;
+    {
+        std::lock_guard lock(mutex_);
+        const auto found = leaving_.find(upstream);
+        if (found == leaving_.end() || found->second.is_in_vm_list ||
+            sent_at < found->second.marked_at + leaving_mark_hold ||
+            vms_read_at_ < found->second.marked_at + leaving_mark_hold) {
+            return;
+        }
+        leaving_.erase(found);
+        ledger_.set_leaving(upstream, false);
     }
-    leaving_.erase(found);
-    ledger_.set_leaving(upstream, false);
     LOG(INFO) << "event=upstream_not_leaving upstream=" << upstream.get();
 }
 
--- a/tests/capacity_service_test.cpp
+++ b/tests/capacity_service_test.cpp
@@ -33,6 +33,7 @@
     settings.term.lease_time = std::chrono::milliseconds(1000);
     settings.renew_interval = std::chrono::milliseconds(100);
     settings.ownership_interval = std::chrono::milliseconds(30);
+    settings.watch_time = std::chrono::milliseconds(500);
     settings.vm_list_interval = std::chrono::milliseconds(30);
     settings.list_interval = std::chrono::milliseconds(30);
     settings.usage_interval = std::chrono::milliseconds(50);
--- a/tests/upstream_fixture.hpp
+++ b/tests/upstream_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 #include <functional>
 #include <optional>
 #include <string>
@@ -18,6 +19,13 @@
 
 namespace jacinthvane {
 
+// glog formats local times; the C library sets up the time zone at the first call, which ThreadSanitizer
+// reports when two threads log for the first time together.
+inline const bool is_time_zone_set = [] {
+    tzset();
+    return true;
+}();
+
 // A pool of threads that runs coroutines of a test.
 class test_pool {
 public:
