Add a command that reloads the key files

Change: `keys reload` asks every address that it is given and goes on after a failure; the call needs a reason like every other change.

--- a/src/command/admin_client.cpp
+++ b/src/command/admin_client.cpp
@@ -85,6 +85,15 @@
     return admin_client(addresses, *token, std::chrono::seconds(seconds));
 }
 
+std::vector<admin_client> admin_client::split() const {
+    std::vector<admin_client> clients;
+    clients.reserve(addresses_.size());
+    for (const auto& address : addresses_) {
+        clients.emplace_back(std::vector<std::string>{address}, token_, timeout_);
+    }
+    return clients;
+}
+
 absl::StatusOr<http_response> admin_client::send(http_request request) const {
     request.headers["Authorization"] = "Bearer " + token_;
     absl::Status last;
--- a/src/command/admin_client.hpp
+++ b/src/command/admin_client.hpp
@@ -25,6 +25,10 @@
     absl::StatusOr<nlohmann::json> post(const std::string& target, const nlohmann::json& body) const;
     absl::StatusOr<std::string> get_text(const std::string& target) const;
 
+    // Returns one client for each address, for calls that act on one process only.
+    std::vector<admin_client> split() const;
+    const std::string& get_first_address() const { return addresses_.front(); }
+
     // Tries the addresses in order while it is certain that none has got the request.
     absl::StatusOr<http_response> send(http_request request) const;
 
--- a/src/command/fleet_commands.cpp
+++ b/src/command/fleet_commands.cpp
@@ -109,6 +109,37 @@
     return absl::OkStatus();
 }
 
+// Asks every address, since each process reads its own copy of the key file. Goes on after a failure, so that
+// one process that is down does not keep the others on the old keys.
+absl::Status reload_keys(const parsed_arguments& arguments, command_streams& streams) {
+    const auto reason = require_reason(arguments);
+    if (!reason.ok()) {
+        return reason.status();
+    }
+    const auto client = admin_client::make(arguments);
+    if (!client.ok()) {
+        return client.status();
+    }
+    absl::Status first_failure;
+    auto results = nlohmann::json::array();
+    text_table table({"ADDRESS", "RESULT"});
+    for (const auto& one : client->split()) {
+        const auto answer = post_change(one, "/v1/admin/keys/reload", {{"reason", *reason}});
+        const auto result =
+            answer.ok() ? std::to_string(answer->value("tokens", std::int64_t{0})) + " tokens in force"
+                        : std::string(answer.status().message());
+        results.push_back({{"address", one.get_first_address()}, {"ok", answer.ok()}, {"result", result}});
+        table.add_row({one.get_first_address(), result});
+        first_failure.Update(answer.status());
+    }
+    if (arguments.is_json()) {
+        streams.out << write_json({{"processes", std::move(results)}}) << "\n";
+    } else {
+        table.print(streams.out);
+    }
+    return first_failure;
+}
+
 absl::Status show_top(const parsed_arguments& arguments, command_streams& streams) {
     std::int64_t count = 1;
     std::int64_t interval = 2;
@@ -168,6 +199,12 @@
                      wait_option,
                      wait_timeout_option},
          .run = set_quota},
+        {.command = "keys",
+         .subcommand = "reload",
+         .summary = "let the process at every address read its key file again",
+         .examples = {"jacinthvane keys reload --reason \"token of amel rotated\""},
+         .options = {reason_option},
+         .run = reload_keys},
         {.command = "dump",
          .summary = "dump the state of one entry process",
          .examples = {"jacinthvane dump --address 10.0.0.11:9090 > state.json"},
--- a/src/connection/admin_api.cpp
+++ b/src/connection/admin_api.cpp
@@ -979,8 +979,19 @@
 }
 
 awaitable<http_response> admin_api::reload_keys(std::shared_ptr<const admin_call> call) {
+    const auto body = parse_body(call->request);
+    if (body.refusal) {
+        co_return *body.refusal;
+    }
+    fault_collector faults(body.document, true);
+    object_reader reader(body.document.root, "", faults);
+    const auto fields = read_change_fields(reader, faults);
+    reader.finish();
+    if (!faults.is_empty()) {
+        co_return make_fault_response(error_kind::bad_request, faults.take());
+    }
     const auto errors = keys_->reload();
-    audit(*call, "reload of the key file", errors.empty() ? "ok" : "bad_configuration");
+    audit(*call, fields.reason, errors.empty() ? "ok" : "bad_configuration");
     if (!errors.empty()) {
         co_return make_fault_response(error_kind::bad_configuration, errors);
     }
--- a/tests/admin_api_test.cpp
+++ b/tests/admin_api_test.cpp
@@ -278,7 +278,8 @@
 // everybody out.
 BOOST_AUTO_TEST_CASE(keys_are_replaced_while_the_process_runs) {
     BOOST_TEST(call(admin_token, "GET", "audit").status == 200);
-    BOOST_TEST(call(admin_token, "POST", "keys/reload").status == 422);
+    BOOST_TEST(call(admin_token, "POST", "keys/reload", reason_body).status == 422);
+    BOOST_TEST(call(admin_token, "POST", "keys/reload", "{}").status == 400);
     BOOST_TEST(call(admin_token, "GET", "audit").status == 200);
     auto text = make_key_text();
     text.replace(text.find(admin_token), admin_token.size(), "fake-admin-token-11111111111");
