Refuse texts that break the TOML library's own assertions

Cause: the mutation fuzz test aborted in the debug build under ThreadSanitizer: a malformed key reaches an assertion in parse_key of toml++ 3.3. Release builds have undefined behaviour at the same place, on input that a client can send.

Change: toml_library.hpp makes the library's assertions throw in every build; document_reader answers with "not valid TOML". Every source that reads TOML has to include this header.

Measured: before, fleet_config failed in the debug build with SIGABRT; after, it passes there and in the release build. The other suites passed under ThreadSanitizer without a report.

--- a/src/connection/document_reader.cpp
+++ b/src/connection/document_reader.cpp
@@ -4,8 +4,7 @@
 #include <limits>
 #include <sstream>
 
-#include <toml++/toml.h>
-
+#include "connection/toml_library.hpp"
 #include "process/utc_time.hpp"
 
 namespace jacinthvane {
@@ -171,6 +170,8 @@
         return document;
     } catch (const toml::parse_error& error) {
         return config_errors{{"", "not valid TOML", static_cast<int>(error.source().begin.line)}};
+    } catch (const toml_fault&) {
+        return config_errors{{"", "not valid TOML"}};
     }
 }
 
