--- a/experiment/policy_bench.cpp
+++ b/experiment/policy_bench.cpp
@@ -252,7 +252,9 @@
         std::filesystem::create_directories(folder);
         lines.open(folder + "/decision.jsonl");
     }
-    for (const auto& [name, policy] : policies) {
+    for (const auto& one : policies) {
+        const char* name = one.first;
+        const auto& policy = one.second;
         std::vector<double> times_us;
         std::vector<double> thread_times_us;
         int found = 0;
