Set the time zone before tests start threads

Cause: without TZ the C library sets the time zone up again at every log line, and ThreadSanitizer reports a race of its allocations when two threads log; calling tzset first was not enough. Change: the fixture sets TZ.

--- a/tests/upstream_fixture.hpp
+++ b/tests/upstream_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdlib>
 #include <ctime>
 #include <functional>
 #include <optional>
@@ -19,9 +20,10 @@
 
 namespace jacinthvane {
 
-// glog formats local times; the C library sets up the time zone at the first call, which ThreadSanitizer
-// reports when two threads log for the first time together.
+// glog formats local times. Without TZ the C library sets the time zone up again at every call, which
+// ThreadSanitizer reports as a race of its allocations.
 inline const bool is_time_zone_set = [] {
+    setenv("TZ", "UTC", 1);
     tzset();
     return true;
 }();
