--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include <glog/logging.h>
 #include <boost/asio/signal_set.hpp>
@@ -119,7 +120,11 @@
         std::fprintf(stderr, "jacinthvane serve: %s; see jacinthvane serve --help\n", error.what());
         return bad_usage;
     }
-    const auto environment = read_environment();
+    auto environment = read_environment();
+    // These are read by the commands that call a process, not by the process.
+    std::erase_if(environment, [](const environment_variable& variable) {
+        return variable.name == "JACINTHVANE_ADDRESS" || variable.name == "JACINTHVANE_TOKEN_FILE";
+    });
     const auto result = read_settings(path, environment, overrides);
     if (const auto* problems = std::get_if<std::vector<settings_problem>>(&result)) {
         for (const auto& problem : *problems) {
@@ -133,7 +138,6 @@
         std::fprintf(stderr, "jacinthvane: %s\n", std::string(keys.status().message()).c_str());
         return get_answer(error_kind::bad_configuration).exit_code;
     }
-    google::InitGoogleLogging("jacinthvane");
     FLAGS_logtostderr = true;
     return run_process(given, *keys);
 }
--- a/src/connection/settings_file.cpp
+++ b/src/connection/settings_file.cpp
@@ -6,8 +6,7 @@
 
 #include <unistd.h>
 
-#define TOML_EXCEPTIONS 0
-#include <toml++/toml.h>
+#include "connection/toml_library.hpp"
 
 namespace jacinthvane {
 
@@ -80,16 +79,21 @@
 
 std::variant<std::vector<raw_setting>, settings_problem> parse_settings_text(std::string_view text,
                                                                              const std::string& file_name) {
-    const auto parsed = toml::parse(text, file_name);
-    if (!parsed) {
-        return settings_problem{
-            setting_origin{file_name, static_cast<std::int64_t>(parsed.error().source().begin.line)},
-            std::string(), "the TOML is wrong: " + std::string(parsed.error().description()),
-            "TOML 1.0, one key = value on each line"};
+    const auto make_problem = [&](std::int64_t line, std::string_view description) {
+        return settings_problem{setting_origin{file_name, line}, std::string(),
+                                "the TOML is wrong: " + std::string(description),
+                                "TOML 1.0, one key = value on each line"};
+    };
+    try {
+        const auto table = toml::parse(text, file_name);
+        std::vector<raw_setting> values;
+        add_table(table, std::string(), file_name, values);
+        return values;
+    } catch (const toml::parse_error& error) {
+        return make_problem(static_cast<std::int64_t>(error.source().begin.line), error.description());
+    } catch (const toml_fault&) {
+        return make_problem(0, "the text cannot be read");
     }
-    std::vector<raw_setting> values;
-    add_table(parsed.table(), std::string(), file_name, values);
-    return values;
 }
 
 std::string get_variable_name(std::string_view key) {
--- a/src/request/capacity_upstreams.cpp
+++ b/src/request/capacity_upstreams.cpp
@@ -46,12 +46,15 @@
 
 awaitable<void> capacity_service::keep_vm_list() {
     const auto self = shared_from_this();
-    auto next = std::chrono::steady_clock::now();
-    do {
+    // g++ 12 skips the condition of a do-while loop with co_await in it on continue, so the wait stands in the body.
+    while (true) {
         const auto sent_at = std::chrono::steady_clock::now();
-        next = sent_at + settings_.vm_list_interval;
+        const auto next = sent_at + settings_.vm_list_interval;
         const auto vms = co_await vm_list_.get(sent_at + settings_.store_timeout);
         if (!vms.ok()) {
+            if (!co_await wait_unless_stopping(next)) {
+                co_return;
+            }
             continue;
         }
         std::vector<upstream_id> leaving;
@@ -85,7 +88,10 @@
             mark_leaving_from(upstream, true);
         }
         sync_upstreams();
-    } while (co_await wait_unless_stopping(next));
+        if (!co_await wait_unless_stopping(next)) {
+            co_return;
+        }
+    }
 }
 
 void capacity_service::sync_upstreams() {
