--- a/tests/capacity_service_test.cpp
+++ b/tests/capacity_service_test.cpp
@@ -350,6 +350,7 @@
     a->pause();
     // These starts wait in the paused process.
     std::vector<std::future<absl::StatusOr<upstream_id>>> late;
+    late.reserve(upstream_count * slots);
     for (int n = 0; n < upstream_count * slots; ++n) {
         late.push_back(asio::co_spawn(asio::make_strand(a->pool.get_context()),
                                       a->service->start_batch(make_start("late-" + std::to_string(n),
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -128,7 +128,7 @@
      }},
     {"a body of any bytes arrives", "bodies that break the framing of the start",
      [](contract_setup& setup) {
-         std::string body = "\n{\"run_ms\": 1}\0\xff\xfe\r\n\r\n";
+         std::string body = "\n{\"run_ms\": 1}\xff\xfe\r\n\r\n";
          body += std::string(3, '\0');
          BOOST_TEST(setup.start(setup.make_call("t/with space%", body, true)).ok());
      }},
