Let repeats of a key wait for its outcome

Change: the home waits for the settlement, and the entry process asks again until the request's deadline; signals are registered before the threads start, since a process whose registration raced ignored SIGTERM.

--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -49,25 +49,26 @@
     return surroundings;
 }
 
-awaitable<void> dump_on_signal(asio::io_context& context, entry_process& process) {
-    asio::signal_set signals(context, SIGUSR1);
+void print_state(const entry_process& process) {
+    const auto state = process.dump_state();
+    std::fwrite(state.data(), 1, state.size(), stdout);
+    std::fflush(stdout);
+}
+
+// Prints the state on each SIGUSR1 and stops the process on SIGTERM or SIGINT.
+awaitable<void> follow_signals(asio::io_context& context, asio::signal_set& signals, entry_process& process,
+                               std::chrono::milliseconds drain, int& exit_code) {
     while (true) {
         boost::system::error_code error;
-        co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        const int signal = co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             co_return;
         }
-        const auto state = process.dump_state();
-        std::fwrite(state.data(), 1, state.size(), stdout);
-        std::fflush(stdout);
+        if (signal != SIGUSR1) {
+            break;
+        }
+        print_state(process);
     }
-}
-
-awaitable<void> stop_on_signal(asio::io_context& context, entry_process& process,
-                               std::chrono::milliseconds drain, int& exit_code) {
-    asio::signal_set signals(context, SIGTERM, SIGINT);
-    boost::system::error_code error;
-    co_await signals.async_wait(asio::redirect_error(asio::use_awaitable, error));
     const bool is_clean = co_await process.stop_gracefully(std::chrono::steady_clock::now() + drain);
     exit_code = is_clean ? 0 : get_answer(error_kind::deadline_exceeded).exit_code;
     context.stop();
@@ -81,8 +82,9 @@
         return get_answer(get_error_kind(status)).exit_code;
     }
     int exit_code = 0;
-    spawn_task(context, "dump_on_signal", dump_on_signal(context, process));
-    spawn_task(context, "stop_on_signal", stop_on_signal(context, process, given.timeouts.drain, exit_code));
+    asio::signal_set signals(context, SIGTERM, SIGINT, SIGUSR1);
+    spawn_task(context, "follow_signals",
+               follow_signals(context, signals, process, given.timeouts.drain, exit_code));
     std::vector<std::thread> threads;
     for (std::int64_t i = 1; i < given.threads; ++i) {
         threads.emplace_back([&context] { context.run(); });
--- a/src/request/capacity_upstreams.cpp
+++ b/src/request/capacity_upstreams.cpp
@@ -46,7 +46,8 @@
 
 awaitable<void> capacity_service::keep_vm_list() {
     const auto self = shared_from_this();
-    // g++ 12 skips the condition of a do-while loop with co_await in it on continue, so the wait stands in the body.
+    // g++ 12 skips the condition of a do-while loop with co_await in it on continue, so the wait stands in
+    // the body.
     while (true) {
         const auto sent_at = std::chrono::steady_clock::now();
         const auto next = sent_at + settings_.vm_list_interval;
--- a/src/request/request_service.cpp
+++ b/src/request/request_service.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds remote_retry{50};
 constexpr std::chrono::milliseconds settle_timeout{10'000};
 constexpr std::chrono::milliseconds settle_retry{200};
+constexpr std::chrono::milliseconds repeat_retry{20};
 
 std::chrono::steady_clock::time_point now() {
     return std::chrono::steady_clock::now();
@@ -146,53 +147,55 @@
 
 awaitable<absl::StatusOr<task_answer>> request_service::run_once(caller_request request) {
     const key_name name{request.spec.team, *request.key};
-    while (true) {
-        {
-            std::lock_guard lock(mutex_);
-            if (claims_.contains(name)) {
-                break;
-            }
-            // Holds the place until the claim is answered, so that a repeat that arrives here waits.
-            claims_[name] = held_claim{};
+    while (now() < request.deadline) {
+        const auto seen = claim_settled_.get_count();
+        // Holds the place of the key here until the claim is settled, so that a repeat that arrives meanwhile
+        // waits.
+        if (!try_hold_claim(name)) {
+            co_await claim_settled_.wait(seen, request.deadline);
+            continue;
         }
         ++counters_.claims;
         const auto claimed = co_await claim(request);
-        if (!claimed.ok()) {
-            const bool is_unknown = get_run_knowledge(claimed.status()) != run_knowledge::not_run;
-            if (is_unknown) {
-                // Nothing was dispatched, but the claim may have become durable and would block repeats.
-                ++counters_.claims_abandoned;
-                spawn_task(context_, "abandon_claim", abandon_claim(name, now() + settle_timeout));
-                co_return make_error(
-                    error_kind::store_unavailable,
-                    "the key could not be claimed: " + std::string(claimed.status().message()));
-            }
-            {
-                std::lock_guard lock(mutex_);
-                claims_.erase(name);
-            }
-            claim_settled_.notify_all();
-            co_return claimed.status();
+        if (!claimed.ok() && get_run_knowledge(claimed.status()) != run_knowledge::not_run) {
+            // Nothing was dispatched, but the claim may have become durable and would block repeats.
+            ++counters_.claims_abandoned;
+            spawn_task(context_, "abandon_claim", abandon_claim(name, now() + settle_timeout));
+            co_return make_error(error_kind::store_unavailable,
+                                 "the key could not be claimed: " + std::string(claimed.status().message()));
         }
-        if (claimed->outcome == claim_outcome::granted) {
+        if (claimed.ok() && claimed->outcome == claim_outcome::granted) {
             co_return co_await run_claimed(request, held_claim{claimed->claim_number, claimed->generation});
         }
-        {
-            std::lock_guard lock(mutex_);
-            claims_.erase(name);
-        }
-        claim_settled_.notify_all();
-        if (claimed->outcome == claim_outcome::settled) {
-            ++counters_.repeats_answered;
-            co_return answer_repeat(*claimed);
+        release_claim(name);
+        if (!claimed.ok()) {
+            co_return claimed.status();
         }
         if (claimed->outcome == claim_outcome::claimant_gone) {
             co_return make_error(error_kind::duplicate_in_progress,
                                  "the process that started the request with this key is gone");
         }
-        break;
+        if (claimed->outcome == claim_outcome::settled && claimed->run != run_knowledge::not_run) {
+            ++counters_.repeats_answered;
+            co_return answer_repeat(*claimed);
+        }
+        co_await wait_until(std::min(request.deadline, now() + repeat_retry));
+    }
+    co_return make_error(error_kind::duplicate_in_progress,
+                         "the request with this key is still running for another caller");
+}
+
+bool request_service::try_hold_claim(const key_name& name) {
+    std::lock_guard lock(mutex_);
+    return claims_.try_emplace(name).second;
+}
+
+void request_service::release_claim(const key_name& name) {
+    {
+        std::lock_guard lock(mutex_);
+        claims_.erase(name);
     }
-    co_return co_await wait_for_repeat(request);
+    claim_settled_.notify_all();
 }
 
 awaitable<absl::StatusOr<task_answer>> request_service::run_claimed(caller_request request,
@@ -262,11 +265,18 @@
         co_return make_settled_reply(*settled);
     }
     const auto& in_progress = std::get<key_in_progress>(*result);
-    const bool is_claimant_alive =
-        in_progress.claimant == hooks_.self || hooks_.is_live(in_progress.claimant);
-    reply.outcome = is_claimant_alive ? claim_outcome::in_progress : claim_outcome::claimant_gone;
     reply.claim_number = in_progress.claim_number;
     reply.generation = in_progress.generation;
+    if (in_progress.claimant != hooks_.self && !hooks_.is_live(in_progress.claimant)) {
+        reply.outcome = claim_outcome::claimant_gone;
+        co_return reply;
+    }
+    const auto wait_deadline = std::min(request.deadline, now() + options_.home_timeout / 2);
+    const auto entry = co_await shards_.wait_for_settlement(request.team, request.key, wait_deadline);
+    if (entry.ok() && (*entry)->state == key_state::settled) {
+        co_return make_settled_reply(key_settled_answer{(*entry)->run, (*entry)->answer});
+    }
+    reply.outcome = claim_outcome::in_progress;
     co_return reply;
 }
 
@@ -289,18 +299,6 @@
     co_return co_await shards_.settle_key(settlement, now() + settle_timeout);
 }
 
-awaitable<absl::StatusOr<task_answer>> request_service::wait_for_repeat(caller_request request) {
-    const auto entry =
-        co_await shards_.wait_for_settlement(request.spec.team, *request.key, request.deadline);
-    const bool is_settled = entry.ok() && (*entry)->state == key_state::settled;
-    if (!is_settled) {
-        co_return make_error(error_kind::duplicate_in_progress,
-                             "the request with this key is still running for another caller");
-    }
-    ++counters_.repeats_answered;
-    co_return answer_repeat(make_settled_reply(key_settled_answer{(*entry)->run, (*entry)->answer}));
-}
-
 // Settles a claim whose answer was lost as not-run, so that a repeat may claim the key again. Nothing was
 // dispatched for it.
 awaitable<void> request_service::abandon_claim(key_name name, time_point deadline) {
@@ -327,11 +325,7 @@
         }
         co_await wait_until(now() + settle_retry);
     }
-    {
-        std::lock_guard lock(mutex_);
-        claims_.erase(name);
-    }
-    claim_settled_.notify_all();
+    release_claim(name);
 }
 
 awaitable<void> request_service::settle_until_durable(key_settled settlement) {
@@ -371,11 +365,7 @@
         }
         co_await wait_until(now() + settle_retry);
     }
-    {
-        std::lock_guard lock(mutex_);
-        claims_.erase(name);
-    }
-    claim_settled_.notify_all();
+    release_claim(name);
 }
 
 awaitable<absl::StatusOr<task_answer>> request_service::run_with_retries(task_start start,
--- a/src/request/request_service.hpp
+++ b/src/request/request_service.hpp
@@ -97,7 +97,9 @@
     awaitable<absl::StatusOr<task_answer>> run_once(caller_request request);
     awaitable<absl::StatusOr<task_answer>> run_claimed(caller_request request, held_claim claim);
     awaitable<absl::StatusOr<claim_key_reply>> claim(const caller_request& request);
-    awaitable<absl::StatusOr<task_answer>> wait_for_repeat(caller_request request);
+    // Returns false if a request of this process holds the key.
+    bool try_hold_claim(const key_name& name);
+    void release_claim(const key_name& name);
     awaitable<void> abandon_claim(key_name name, time_point deadline);
     awaitable<void> settle_until_durable(key_settled settlement);
 
