Let a claim wait at its home until the request's deadline

Cause: a claim was given up after 2 s, so a store outage of 4 s refused 42 merges whose deadline was 8 s away. Change: the call to the home ends with the request's deadline; a silent home is noticed by the link's heartbeat. The message test now covers the reservation message, which its count of messages asked for.

--- a/src/request/request_service.cpp
+++ b/src/request/request_service.cpp
@@ -230,8 +230,7 @@
         co_return co_await claim_for_peer(call);
     }
     const peer_request message = call;
-    const auto reply = co_await hooks_.call_peer(home->peer_address, message,
-                                                 std::min(request.deadline, now() + options_.home_timeout));
+    const auto reply = co_await hooks_.call_peer(home->peer_address, message, request.deadline);
     if (!reply.ok()) {
         if (get_run_knowledge(reply.status()) == run_knowledge::not_run) {
             // The home cannot be reached; the journal decides just as well from here.
@@ -271,7 +270,7 @@
         reply.outcome = claim_outcome::claimant_gone;
         co_return reply;
     }
-    const auto wait_deadline = std::min(request.deadline, now() + options_.home_timeout / 2);
+    const auto wait_deadline = std::min(request.deadline, now() + options_.settlement_wait);
     const auto entry = co_await shards_.wait_for_settlement(request.team, request.key, wait_deadline);
     if (entry.ok() && (*entry)->state == key_state::settled) {
         co_return make_settled_reply(key_settled_answer{(*entry)->run, (*entry)->answer});
--- a/src/request/request_service.hpp
+++ b/src/request/request_service.hpp
@@ -27,8 +27,8 @@
     retry_settings retry{};
     routing_rules routing{};
     std::uint64_t seed = 1;
-    // The longest a home is waited for before the claim is made from here.
-    std::chrono::milliseconds home_timeout{2000};
+    // How long a home holds the claim of a repeat open for the settlement before it answers.
+    std::chrono::milliseconds settlement_wait{1000};
 
     bool operator==(const request_options&) const = default;
 };
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -54,6 +54,7 @@
                             "r"},
         fetch_config_request{9},
         announce_leaving_request{{upstream_id("u"), upstream_id("v")}, {vm_id("e-1")}, 12},
+        reserve_task_request{make_start()},
     };
 }
 
