Connect the admin interface and the runbooks to the process

Cause: the admin interface answered not_ready to everything and runs of runbooks were driven by nobody. Drain progress and team usage are not connected yet; they are answered with not_ready.

--- a/src/command/entry_process.cpp
+++ b/src/command/entry_process.cpp
@@ -97,6 +97,8 @@
     job_settings.shards = surroundings_.shards;
     job_settings.seed = surroundings_.seed;
     jobs_ = std::make_unique<job_service>(context_, *shards_, make_hooks(), job_settings);
+    runbooks_ =
+        std::make_unique<runbook_service>(context_, *shards_, *jobs_, make_hooks(), surroundings_.shards);
     peer_handler::hooks peer_hooks;
     peer_hooks.fetch_config = [this](const fetch_config_request& request) {
         return config_->serve_fetch(request);
@@ -256,6 +258,7 @@
     capacity_->start();
     requests_->start();
     jobs_->start();
+    runbooks_->start();
     members_->set_state(member_state::live);
     LOG(INFO) << "event=process_started process=" << self_.to_string()
               << " failure_domain=" << settings_.place.failure_domain.get();
@@ -272,6 +275,7 @@
         std::min(deadline, std::chrono::steady_clock::now() + settings_.timeouts.balancer_grace));
     caller_server_.stop_accepting();
     bool is_clean = co_await caller_server_.drain(deadline);
+    runbooks_->stop();
     reach(surroundings_.observer, work_step::hand_over);
     const bool is_handed_over = co_await capacity_->hand_over(deadline);
     const bool is_claim_settled = co_await requests_->drain(deadline);
@@ -290,6 +294,7 @@
 
 void entry_process::abandon() {
     requests_->stop();
+    runbooks_->stop();
     jobs_->stop();
     capacity_->stop_loops();
     shards_->stop();
--- a/src/command/entry_process.hpp
+++ b/src/command/entry_process.hpp
@@ -28,6 +28,7 @@
 #include "request/job_service.hpp"
 #include "request/peer_handler.hpp"
 #include "request/request_service.hpp"
+#include "request/runbook_service.hpp"
 #include "request/shard_service.hpp"
 #include "request/task_locator.hpp"
 #include "version/fleet_config.hpp"
@@ -79,11 +80,13 @@
     capacity_service& get_capacity() { return *capacity_; }
     shard_service& get_shards() { return *shards_; }
     job_service& get_jobs() { return *jobs_; }
+    runbook_service& get_runbooks() { return *runbooks_; }
     request_service& get_requests() { return *requests_; }
     config_service& get_config() { return *config_; }
     member_table& get_members() { return *members_; }
     store_client& get_store() { return *store_; }
     const settings& get_settings() const { return settings_; }
+    std::size_t get_shard_count() const { return surroundings_.shards; }
 
     // The installed fleet configuration, or nullptr.
     fleet_config_ptr get_fleet_config() const;
@@ -119,6 +122,7 @@
     std::shared_ptr<capacity_service> capacity_;
     std::unique_ptr<request_service> requests_;
     std::unique_ptr<job_service> jobs_;
+    std::unique_ptr<runbook_service> runbooks_;
     std::unique_ptr<task_locator> locator_;
     std::unique_ptr<peer_handler> peers_;
     std::unique_ptr<caller_handler> callers_;
--- a/src/command/serve_command.cpp
+++ b/src/command/serve_command.cpp
@@ -4,6 +4,8 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -14,7 +16,10 @@
 #include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 
+#include "command/admin_operations.hpp"
 #include "command/entry_process.hpp"
+#include "connection/admin_api.hpp"
+#include "connection/key_file.hpp"
 #include "connection/settings_file.hpp"
 #include "connection/spawn_task.hpp"
 #include "process/digest.hpp"
@@ -81,6 +86,23 @@
         std::fprintf(stderr, "jacinthvane: %s\n", std::string(status.message()).c_str());
         return get_answer(get_error_kind(status)).exit_code;
     }
+    // The admin interface has a listener of its own, so that it answers when the clients' one is overloaded.
+    const auto tokens = std::make_shared<key_file>(given.admin_token_file);
+    std::optional<admin_api> admin;
+    std::optional<http_server> admin_server;
+    if (!given.admin_token_file.empty()) {
+        if (const auto errors = tokens->reload(); !errors.empty()) {
+            std::fprintf(stderr, "jacinthvane: %s: %s\n", given.admin_token_file.c_str(),
+                         format_errors(errors).c_str());
+            return get_answer(error_kind::bad_configuration).exit_code;
+        }
+        admin.emplace(make_admin_operations(process), tokens, machine_clock{});
+        admin_server.emplace(context, http_limits{}, admin->make_handler());
+        if (const auto status = admin_server->listen(given.listen.admin); !status.ok()) {
+            std::fprintf(stderr, "jacinthvane: %s\n", std::string(status.message()).c_str());
+            return get_answer(get_error_kind(status)).exit_code;
+        }
+    }
     int exit_code = 0;
     asio::signal_set signals(context, SIGTERM, SIGINT, SIGUSR1);
     spawn_task(context, "follow_signals",
