Place by learnt interference and eject failing upstreams in the process

Cause: the process chose the less committed of two samples; the model and the ejection table were used by the experiment only.

Not yet connected: quotas, evictions, memory overuse, weights from the fleet configuration.

--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -1,10 +1,14 @@
 #include <cstdio>
 #include <cxxopts.hpp>
 #include <exception>
+#include <iostream>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "experiment/journal_bench.hpp"
+#include "experiment/ledger_bench.hpp"
+#include "experiment/member_bench.hpp"
 #include "experiment/policy_bench.hpp"
 
 namespace {
@@ -49,6 +53,23 @@
     return run_decision_bench(options.parse(argc, argv)["folder"].as<std::string>());
 }
 
+std::vector<std::string> to_arguments(int argc, char** argv) {
+    return {argv + 1, argv + argc};
+}
+
+int run_journal_command(int argc, char** argv) {
+    return jacinthvane::run_journal_bench(to_arguments(argc, argv));
+}
+
+int run_ledger_command(int argc, char** argv) {
+    return jacinthvane::run_ledger_bench(to_arguments(argc, argv));
+}
+
+int run_member_command(int /*argc*/, char** /*argv*/) {
+    jacinthvane::run_member_bench(std::cout);
+    return 0;
+}
+
 struct bench_command {
     std::string_view name;
     int (*run)(int argc, char** argv);
@@ -59,6 +80,10 @@
 constexpr bench_command commands[] = {
     {"policy", run_policy_command, "placement policies, admission, ejection and retries under load"},
     {"decision", run_decision_command, "time of one placement decision at 7,400 upstreams"},
+    {"journal", run_journal_command, "records, snapshots and the service: rules, snapshot or service"},
+    {"ledger", run_ledger_command, "starts, lists and memory of the ledger at four sizes"},
+    {"member", run_member_command,
+     "bytes, processor time, memory and rounds of the membership at four sizes"},
 };
 
 void print_commands() {
--- a/src/command/entry_process.cpp
+++ b/src/command/entry_process.cpp
@@ -52,6 +52,7 @@
       settings_(std::move(given)),
       surroundings_(std::move(surroundings)),
       self_{settings_.vm, surroundings_.incarnation},
+      placement_(surroundings_.seed),
       caller_server_(context, make_caller_limits(settings_),
                      [this](http_request request) { return callers_->handle(std::move(request)); }),
       metrics_server_(context, http_limits{}, [this](http_request) -> awaitable<http_response> {
@@ -85,9 +86,13 @@
     shard_options.seed = surroundings_.seed;
     shard_options.call_timeout = settings_.timeouts.store_call;
     shards_ = std::make_unique<shard_service>(context_, *store_, shard_options);
+    const auto choose = [this](const task_start& start, std::span<const placement_candidate> candidates) {
+        return placement_.choose(start, candidates);
+    };
     capacity_ = std::make_shared<capacity_service>(
         context_, make_capacity_settings(), *store_, vm_list_client(surroundings_.vm_list),
-        upstream_client(surroundings_.upstreams), make_capacity_callbacks());
+        upstream_client(surroundings_.upstreams), make_capacity_callbacks(),
+        custom_chooser{placement_service::candidate_count, choose});
     locator_ = std::make_unique<task_locator>(capacity_, make_locator_hooks());
     request_options request_settings;
     request_settings.seed = surroundings_.seed;
@@ -156,7 +161,12 @@
         report.state = fate.state;
         report.checkpoint = fate.checkpoint;
         jobs_->report(report);
+        const auto status = fate.state == work_state::failed
+                                ? make_error(error_kind::upstream_failed, "the task failed")
+                                : absl::OkStatus();
+        placement_.note_end(end.task, end.generation, status);
     };
+    callbacks.on_usage = [this](const usage_report& report) { placement_.note_usage(report); };
     callbacks.on_room = [this] { requests_->notify_capacity(); };
     callbacks.on_leaving = [this](const upstream_id& upstream) {
         LOG(INFO) << "event=upstream_leaving upstream=" << upstream.get();
@@ -191,7 +201,7 @@
     hooks.call_peer = [this](std::string address, peer_request request, time_point deadline) {
         return links_->call(std::move(address), std::move(request), deadline);
     };
-    hooks.run_urgent = [this](task_start start) { return capacity_->run_urgent(std::move(start)); };
+    hooks.run_urgent = [this](task_start start) { return run_urgent(std::move(start)); };
     hooks.reserve_batch = [this](const task_start& start) { return capacity_->reserve_batch(start); };
     hooks.start_reserved = [this](task_start start, upstream_id upstream) {
         return capacity_->start_reserved(std::move(start), std::move(upstream));
@@ -393,6 +403,14 @@
     }
 }
 
+awaitable<absl::StatusOr<task_answer>> entry_process::run_urgent(task_start start) {
+    const auto task = start.spec.task;
+    const auto generation = start.generation;
+    auto result = co_await capacity_->run_urgent(std::move(start));
+    placement_.note_end(task, generation, result.status());
+    co_return result;
+}
+
 std::vector<route_target> entry_process::get_routes() const {
     std::vector<route_target> result;
     for (const auto& entry : members_->get_live()) {
--- a/src/command/entry_process.hpp
+++ b/src/command/entry_process.hpp
@@ -27,6 +27,7 @@
 #include "request/config_service.hpp"
 #include "request/job_service.hpp"
 #include "request/peer_handler.hpp"
+#include "request/placement_service.hpp"
 #include "request/request_service.hpp"
 #include "request/runbook_service.hpp"
 #include "request/shard_service.hpp"
@@ -103,6 +104,7 @@
     void note_news(const member_merge& news);
     void update_shard_pace();
     void update_metrics();
+    awaitable<absl::StatusOr<task_answer>> run_urgent(task_start start);
     std::vector<route_target> get_routes() const;
     route_target make_route(const member& entry) const;
 
@@ -119,6 +121,7 @@
     std::unique_ptr<member_socket> member_socket_;
     std::unique_ptr<config_service> config_;
     std::unique_ptr<shard_service> shards_;
+    placement_service placement_;
     std::shared_ptr<capacity_service> capacity_;
     std::unique_ptr<request_service> requests_;
     std::unique_ptr<job_service> jobs_;
