Handle a refused record of a start that did not take place

Change: if it cannot be written, the job is checked at its upstream soon instead of at the usual interval.

--- a/src/request/job_service.cpp
+++ b/src/request/job_service.cpp
@@ -413,9 +413,14 @@
                                                       .generation = start.generation,
                                                       .reason = stop_reason::not_started,
                                                       .checkpoint = std::nullopt};
-    co_await shards_.append(shard, stopped, now() + call_timeout);
+    const auto noted = co_await shards_.append(shard, stopped, now() + call_timeout);
     std::lock_guard lock(mutex_);
-    driven_[id].start_at = now() + start_retry;
+    auto& driven = driven_[id];
+    driven.start_at = now() + start_retry;
+    if (!noted.ok()) {
+        // The journal still says that the generation runs; the next check finds it absent.
+        driven.check_at = now() + options_.start_settled_after;
+    }
 }
 
 awaitable<absl::StatusOr<job_service::reservation>> job_service::reserve(task_start start) {
