Expect the moved deadline of the reservation message

Cause: the round trip of reserve_task_request moves its deadline to the receiver's clock as that of every start, and the test's expectation did not know the new message. Change: the expectation moves it too; the check stays an equality.

--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -74,6 +74,7 @@
 struct deadline_mover {
     void operator()(dispatch_request& item) const { item.start.deadline = received_at + time_left; }
     void operator()(start_task_request& item) const { item.start.deadline = received_at + time_left; }
+    void operator()(reserve_task_request& item) const { item.start.deadline = received_at + time_left; }
     void operator()(claim_key_request& item) const { item.deadline = received_at + time_left; }
     void operator()(submit_job_request& item) const {
         item.finish_by = received_at + time_left;
