Remove a log line written twice and a file nobody used

Cause: a change of a member's state was logged by the membership socket and again by the process; standin_info was left from the first skeleton. Change: the socket's line stays, the file is gone.

--- a/src/command/entry_process.cpp
+++ b/src/command/entry_process.cpp
@@ -364,10 +364,6 @@
 }
 
 void entry_process::note_news(const member_merge& news) {
-    for (const auto& change : news.changes) {
-        LOG(INFO) << "event=member_changed member=" << change.process.to_string()
-                  << " from=" << get_state_name(change.from) << " to=" << get_state_name(change.to);
-    }
     for (const auto& report : news.leaving) {
         if (report.is_leaving) {
             capacity_->mark_leaving(report.upstream);
--- a/standin/standin_info.hpp
+++ /dev/null
@@ -1,9 +0,0 @@
-#pragma once
-
-#include <string_view>
-
-namespace jacinthvane {
-
-std::string_view get_standin_version();
-
-}  // namespace jacinthvane
