--- /dev/null
+++ b/src/connection/cell_records.cpp
@@ -0,0 +1,169 @@
+#include "connection/cell_records.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "connection/wire_archive.hpp"
+#include "process/error_kind.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+constexpr std::uint32_t format_number = 1;
+constexpr std::string_view cancel_suffix = "/cancel";
+// The only cell there is.
+constexpr std::string_view cell_name = "0";
+constexpr std::size_t max_upstreams = 20000;
+
+}  // namespace
+
+// Found by cereal through the types that they serialize.
+
+template <class Archive>
+void serialize(Archive& archive, step_spec& step) {
+    archive(step.task_count, step.size, step.estimated_ms);
+    serialize_list(archive, step.after, max_steps);
+    archive(step.saves_checkpoints, step.is_gang, step.prefers_one_rack, step.is_speculative, step.is_lasting,
+            step.is_filler);
+    archive(step.required_label, step.data_rack, step.image, step.max_per_upstream, step.target_tail_ms,
+            step.disruption_budget);
+}
+
+template <class Archive>
+void serialize(Archive& archive, job_spec& spec) {
+    archive(spec.payload);
+    serialize_list(archive, spec.steps, max_steps);
+    archive(spec.occurrences, spec.first_due_unix_ms, spec.period_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, queue_rules& rules) {
+    archive(rules.queue, rules.service, rules.priority, rules.max_attempts, rules.stretch_permille,
+            rules.objective_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, accepted_job& job) {
+    archive(job.rules, job.spec, job.accepted_unix_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, task_history& history) {
+    archive(history.index, history.failures, history.checkpoint);
+}
+
+template <class Archive>
+void serialize(Archive& archive, step_progress& step) {
+    archive(step.occurrence, step.step);
+    serialize_list(archive, step.done_tasks, max_tasks_per_job);
+    serialize_list(archive, step.histories, max_tasks_per_job);
+    archive(step.is_done);
+}
+
+template <class Archive>
+void serialize(Archive& archive, job_progress& progress) {
+    archive(progress.queue);
+    serialize_enum(archive, progress.state, job_phase::cancelled);
+    archive(progress.first_open_occurrence);
+    serialize_list(archive, progress.done_occurrences, max_occurrences);
+    serialize_list(archive, progress.steps, max_tasks_per_job);
+    archive(progress.ended_unix_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, cell_row& row) {
+    archive(row.token, row.owner, row.address);
+}
+
+template <class Archive>
+void serialize(Archive& archive, upstream_entry& entry) {
+    archive(entry.id, entry.service, entry.address, entry.failure_domain);
+    serialize_list(archive, entry.labels, max_steps);
+    archive(entry.capacity, entry.is_leaving, entry.remaining_ms, entry.born_unix_ms);
+}
+
+template <class Archive>
+void serialize(Archive& archive, known_upstreams& known) {
+    serialize_list(archive, known.entries, max_upstreams);
+}
+
+namespace {
+
+template <class Record>
+std::string encode(const Record& record) {
+    wire_output_archive archive{time_point()};
+    archive(format_number, record);
+    return archive.take_bytes();
+}
+
+template <class Record>
+absl::StatusOr<Record> decode(std::string_view bytes, const char* what) {
+    Record record;
+    try {
+        wire_input_archive archive(bytes, time_point());
+        std::uint32_t format = 0;
+        archive(format);
+        if (format != format_number) {
+            return make_error(error_kind::bad_request, std::string("the ") + what + " has format " +
+                                                           std::to_string(format) + ", known is " +
+                                                           std::to_string(format_number));
+        }
+        archive(record);
+        if (archive.get_remaining() != 0) {
+            return make_error(error_kind::bad_request,
+                              std::string("the ") + what + " has bytes after its end");
+        }
+    } catch (const cereal::Exception& error) {
+        return make_error(error_kind::bad_request,
+                          std::string("the ") + what + " cannot be read: " + error.what());
+    }
+    return record;
+}
+
+}  // namespace
+
+std::string encode_record(const accepted_job& job) { return encode(job); }
+std::string encode_record(const job_progress& progress) { return encode(progress); }
+std::string encode_record(const cell_row& row) { return encode(row); }
+std::string encode_record(const known_upstreams& upstreams) { return encode(upstreams); }
+
+absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
+    auto job = decode<accepted_job>(bytes, "job record");
+    if (!job.ok()) {
+        return job;
+    }
+    if (auto status = check_job_spec(job->spec); !status.ok()) {
+        return status;
+    }
+    return job;
+}
+
+absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes) {
+    return decode<job_progress>(bytes, "progress record");
+}
+
+absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes) { return decode<cell_row>(bytes, "cell row"); }
+
+absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes) {
+    return decode<known_upstreams>(bytes, "list of known upstreams");
+}
+
+std::string make_job_key(const job_id& id) { return std::string(job_prefix) + id.get(); }
+std::string make_cancel_key(const job_id& id) { return make_job_key(id) + std::string(cancel_suffix); }
+std::string make_progress_key(const job_id& id) { return std::string(progress_prefix) + id.get(); }
+std::string make_cell_key() { return "jv/cell/" + std::string(cell_name); }
+std::string make_owner_key() { return std::string(owner_prefix) + std::string(cell_name); }
+std::string make_commit_key() { return "jv/commit/" + std::string(cell_name); }
+std::string make_upstreams_key() { return "jv/upstreams/" + std::string(cell_name); }
+
+job_key parse_job_key(std::string_view key) {
+    key.remove_prefix(std::min(job_prefix.size(), key.size()));
+    const bool is_cancel = key.ends_with(cancel_suffix);
+    if (is_cancel) {
+        key.remove_suffix(cancel_suffix.size());
+    }
+    return {job_id(std::string(key)), is_cancel};
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/connection/cell_records.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "process/ids.hpp"
+#include "process/job_progress.hpp"
+#include "process/job_spec.hpp"
+#include "process/upstream_entry.hpp"
+
+namespace jacinthvane {
+
+// The durable row of a cell: who owns it under which token.
+struct cell_row {
+    std::uint64_t token = 0;
+    std::string owner;
+    // Where the owner answers questions of other processes.
+    std::string address;
+
+    bool operator==(const cell_row&) const = default;
+};
+
+// Upstreams on which an owner may have started tasks.
+struct known_upstreams {
+    std::vector<upstream_entry> entries;
+
+    bool operator==(const known_upstreams&) const = default;
+};
+
+// Records of the cell in the store: a format number, then a cereal archive. Decoders refuse anything that the
+// encoders could not have written (bad_request), so a foreign value harms nothing.
+std::string encode_record(const accepted_job& job);
+std::string encode_record(const job_progress& progress);
+std::string encode_record(const cell_row& row);
+std::string encode_record(const known_upstreams& upstreams);
+
+absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes);
+absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes);
+absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes);
+absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
+
+// Keys of the records.
+constexpr std::string_view job_prefix = "jv/job/";
+constexpr std::string_view progress_prefix = "jv/progress/";
+constexpr std::string_view owner_prefix = "jv/owner/";
+std::string make_job_key(const job_id& id);
+std::string make_cancel_key(const job_id& id);
+std::string make_progress_key(const job_id& id);
+std::string make_cell_key();
+std::string make_owner_key();
+std::string make_commit_key();
+std::string make_upstreams_key();
+
+// What a key under job_prefix stands for.
+struct job_key {
+    job_id id;
+    bool is_cancel = false;
+
+    bool operator==(const job_key&) const = default;
+};
+
+job_key parse_job_key(std::string_view key);
+
+}  // namespace jacinthvane
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -82,16 +82,33 @@
 
 http_client::~http_client() = default;
 
+void http_client::drop_old_connections(address_pool& pool) {
+    const auto oldest_usable = std::chrono::steady_clock::now() - max_idle;
+    pool.idle.remove_if([&](const auto& connection) { return connection->idle_since < oldest_usable; });
+}
+
+bool http_client::has_idle_connection(const std::string& address) {
+    std::lock_guard lock(mutex_);
+    const auto found = pools_.find(address);
+    if (found == pools_.end()) {
+        return false;
+    }
+    drop_old_connections(found->second);
+    return !found->second.idle.empty();
+}
+
 awaitable<absl::StatusOr<std::unique_ptr<http_client::pooled_connection>>> http_client::acquire(
-    std::string address, time_point deadline) {
+    std::string address, time_point deadline, connection_choice choice) {
     while (true) {
         const auto seen = released_.get_count();
         {
             std::lock_guard lock(mutex_);
             auto& pool = pools_[address];
-            const auto oldest_usable = std::chrono::steady_clock::now() - max_idle;
-            pool.idle.remove_if(
-                [&](const auto& connection) { return connection->idle_since < oldest_usable; });
+            drop_old_connections(pool);
+            if (choice == connection_choice::reused && pool.idle.empty()) {
+                co_return make_error(error_kind::upstream_unreachable,
+                                     "there is no open connection to " + address);
+            }
             if (pool.in_use < max_connections_) {
                 ++pool.in_use;
                 if (pool.idle.empty()) {
@@ -124,13 +141,14 @@
 
 awaitable<absl::StatusOr<http_response>> http_client::fetch(std::string address, http_request request,
                                                             time_point deadline, time_point write_before,
-                                                            answer_check is_expected) {
+                                                            answer_check is_expected,
+                                                            connection_choice choice) {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) {
         co_return make_error(error_kind::upstream_unreachable,
                              "\"" + address + "\" is not an IP address and port");
     }
-    auto acquired = co_await acquire(address, deadline);
+    auto acquired = co_await acquire(address, deadline, choice);
     if (!acquired.ok()) {
         co_return acquired.status();
     }
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -16,6 +16,10 @@
 
 namespace jacinthvane {
 
+// Whether a call may open a connection. A reused connection still leads to the process that answered on it
+// before, whereas a new one may lead to a successor at the same address.
+enum class connection_choice { any, reused };
+
 // Sends HTTP/1.1 requests over kept-alive connections, at most a stated number to each address. A connection
 // that fails or passes a deadline is closed and never reused, so a connection that went silent harms one call
 // only.
@@ -38,14 +42,20 @@
     awaitable<absl::StatusOr<http_response>> fetch(std::string address, http_request request,
                                                    time_point deadline,
                                                    time_point write_before = time_point::max(),
-                                                   answer_check is_expected = {});
+                                                   answer_check is_expected = {},
+                                                   connection_choice choice = connection_choice::any);
+
+    // True if a call with connection_choice::reused could be sent now.
+    bool has_idle_connection(const std::string& address);
 
 private:
     struct pooled_connection;
     struct address_pool;
 
     awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>> acquire(std::string address,
-                                                                          time_point deadline);
+                                                                          time_point deadline,
+                                                                          connection_choice choice);
+    static void drop_old_connections(address_pool& pool);
     static awaitable<absl::StatusOr<http_response>> exchange(pooled_connection& connection,
                                                              asio::ip::tcp::endpoint endpoint,
                                                              std::string address, http_request request,
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -186,7 +186,7 @@
             response = make_parse_failure(error);
         } else {
             ++state->requests_in_progress;
-            keep_alive = parser.get().keep_alive() && !state->is_stopping;
+            keep_alive = parser.get().keep_alive();
             stream.expires_never();
             auto request = from_beast(parser.release());
             std::exception_ptr failure;
@@ -200,7 +200,7 @@
                 response.status = get_answer(error_kind::internal).http_status;
                 response.headers["X-Run"] = std::string(get_name(run_knowledge::may_have_run));
             }
-            keep_alive = keep_alive && !state->is_stopping;
+            keep_alive = keep_alive && !state->is_stopping && !state->is_closing;
             if (response.status == dropped_answer_status) {
                 --state->requests_in_progress;
                 state->request_finished.notify_all();
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -38,6 +38,9 @@
     // Returns the bound "address:port".
     std::string get_address() const;
 
+    // Closes each connection after its next answer, while new ones are still accepted.
+    void close_after_answers() { state_->is_closing = true; }
+
     // Accepts no further connection. Connections in use finish the request at hand and are then closed.
     void stop_accepting();
 
@@ -55,6 +58,7 @@
         http_limits limits;
         handler handle;
         std::atomic<bool> is_stopping = false;
+        std::atomic<bool> is_closing = false;
         std::atomic<std::size_t> connections = 0;
         std::atomic<std::size_t> requests_in_progress = 0;
         async_signal request_finished;
--- /dev/null
+++ b/src/connection/memory_registry.cpp
@@ -0,0 +1,102 @@
+#include "connection/memory_registry.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+namespace jacinthvane {
+
+namespace {
+
+time_point get_wait_end(std::int64_t wait_ms, time_point deadline) {
+    return std::min(deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms));
+}
+
+}  // namespace
+
+awaitable<absl::StatusOr<upstream_changes>> memory_registry::list_upstreams(time_point) {
+    std::lock_guard lock(mutex_);
+    upstream_changes result;
+    result.revision = revision_;
+    for (const auto& [id, entry] : entries_) {
+        result.changes.push_back({id, entry});
+    }
+    co_return result;
+}
+
+awaitable<absl::StatusOr<upstream_changes>> memory_registry::watch_upstreams(std::uint64_t after,
+                                                                             std::int64_t wait_ms,
+                                                                             time_point deadline) {
+    const auto until = get_wait_end(wait_ms, deadline);
+    while (true) {
+        const auto seen = changed_.get_count();
+        {
+            std::lock_guard lock(mutex_);
+            upstream_changes result;
+            result.revision = revision_;
+            for (const auto& numbered : history_) {
+                if (numbered.revision > after) {
+                    result.changes.push_back(numbered.change);
+                }
+            }
+            if (!result.changes.empty()) {
+                co_return result;
+            }
+        }
+        if (!co_await changed_.wait(seen, until)) {
+            co_return upstream_changes{{}, after};
+        }
+    }
+}
+
+awaitable<absl::StatusOr<config_state>> memory_registry::get_config(time_point) {
+    std::lock_guard lock(mutex_);
+    co_return config_state{config_, revision_};
+}
+
+awaitable<absl::StatusOr<config_state>> memory_registry::watch_config(std::uint64_t after, std::int64_t wait_ms,
+                                                                      time_point deadline) {
+    const auto until = get_wait_end(wait_ms, deadline);
+    while (true) {
+        const auto seen = changed_.get_count();
+        {
+            std::lock_guard lock(mutex_);
+            if (config_revision_ > after) {
+                co_return config_state{config_, revision_};
+            }
+        }
+        if (!co_await changed_.wait(seen, until)) {
+            co_return config_state{nullptr, after};
+        }
+    }
+}
+
+void memory_registry::set_upstream(const upstream_entry& entry) {
+    {
+        std::lock_guard lock(mutex_);
+        entries_[entry.id] = entry;
+        history_.push_back({++revision_, {entry.id, entry}});
+    }
+    changed_.notify_all();
+}
+
+void memory_registry::remove_upstream(const upstream_id& id) {
+    {
+        std::lock_guard lock(mutex_);
+        entries_.erase(id);
+        history_.push_back({++revision_, {id, std::nullopt}});
+    }
+    changed_.notify_all();
+}
+
+void memory_registry::set_config(std::shared_ptr<const dispatch_config> config) {
+    {
+        std::lock_guard lock(mutex_);
+        config_ = std::move(config);
+        config_revision_ = ++revision_;
+    }
+    changed_.notify_all();
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/connection/memory_upstreams.cpp
@@ -0,0 +1,275 @@
+#include "connection/memory_upstreams.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+#include "connection/async_signal.hpp"
+#include "process/error_kind.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds stop_time{100};
+constexpr std::int64_t checkpoint_interval_ms = 500;
+
+std::int64_t to_ms(time_point::duration duration) {
+    return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
+}  // namespace
+
+memory_upstreams::memory_upstreams(clock_source clock, task_model model)
+    : clock_(std::move(clock)), model_(std::move(model)) {}
+
+void memory_upstreams::add(const upstream_entry& entry) {
+    std::lock_guard lock(mutex_);
+    auto& upstream = upstreams_[entry.id];
+    upstream.entry = entry;
+    upstream.born_at = get_now(clock_) - milliseconds(1000);
+}
+
+void memory_upstreams::restart(const upstream_id& id, std::int64_t born_unix_ms) {
+    std::lock_guard lock(mutex_);
+    auto entry = upstreams_[id].entry;
+    entry.born_unix_ms = born_unix_ms;
+    upstreams_[id] = modelled_upstream();
+    upstreams_[id].entry = entry;
+    upstreams_[id].born_at = get_now(clock_) - milliseconds(1);
+}
+
+void memory_upstreams::set_cut(const upstream_id& id, bool is_cut) {
+    std::lock_guard lock(mutex_);
+    upstreams_[id].is_cut = is_cut;
+}
+
+void memory_upstreams::set_failing(const upstream_id& id, bool is_failing) {
+    std::lock_guard lock(mutex_);
+    upstreams_[id].is_failing = is_failing;
+}
+
+memory_upstreams::modelled_upstream* memory_upstreams::find(const upstream_id& id) {
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() || found->second.is_cut ? nullptr : &found->second;
+}
+
+std::int64_t memory_upstreams::read_clock(const modelled_upstream& upstream) const {
+    return to_ms(get_now(clock_) - upstream.born_at);
+}
+
+std::int64_t memory_upstreams::get_done_ms(const modelled_run& run) const {
+    return run.done_before_ms + to_ms(get_now(clock_) - run.started_at);
+}
+
+bool memory_upstreams::has_look_connection(const std::string&) { return true; }
+
+awaitable<look_answer> memory_upstreams::look(std::string address, look_order order, std::uint64_t token,
+                                              time_point deadline) {
+    const auto until = std::min(deadline, std::chrono::steady_clock::now() + milliseconds(order.wait_ms));
+    while (true) {
+        const auto answer = look_now(address, order, token);
+        const bool has_news = answer.result != order_result::accepted || !answer.report.ended.empty();
+        if (has_news || std::chrono::steady_clock::now() >= until) {
+            co_return answer;
+        }
+        co_await wait_until(std::min(until, std::chrono::steady_clock::now() + milliseconds(10)));
+    }
+}
+
+awaitable<order_answer> memory_upstreams::send(std::string, upstream_order order, std::uint64_t token,
+                                               time_point) {
+    co_return send_now(order, token);
+}
+
+awaitable<absl::StatusOr<advice_answer>> memory_upstreams::advise(advice_request request, time_point) {
+    advice_answer answer;
+    answer.valid_ms = 3000;
+    for (const auto& id : request.upstreams) {
+        answer.allowed.emplace_back(id, "ticket-" + id.get());
+    }
+    co_return answer;
+}
+
+look_answer memory_upstreams::look_now(const std::string&, const look_order& order, std::uint64_t token) {
+    std::lock_guard lock(mutex_);
+    advance_locked();
+    auto* upstream = find(order.upstream);
+    look_answer answer;
+    if (upstream == nullptr) {
+        return answer;
+    }
+    if (token < upstream->token) {
+        answer.result = order_result::refused_token;
+        return answer;
+    }
+    upstream->token = token;
+    if (order.lease_until_clock_ms > 0) {
+        const auto until = upstream->born_at + milliseconds(order.lease_until_clock_ms);
+        upstream->lease_until = std::max(upstream->lease_until, until);
+    }
+    for (const auto& row : upstream->ended) {
+        if (row.number <= order.acknowledged_end && row.how == run_end::done) {
+            acknowledged_[row.task] = true;
+        }
+    }
+    std::erase_if(upstream->ended, [&](const ended_row& row) { return row.number <= order.acknowledged_end; });
+    answer.result = order_result::accepted;
+    answer.report.clock_ms = read_clock(*upstream);
+    answer.report.born_unix_ms = upstream->entry.born_unix_ms;
+    answer.report.ended = upstream->ended;
+    for (const auto& [task, run] : upstream->runs) {
+        const auto percent = run.task.is_lasting ? 100 : std::min<std::int64_t>(get_done_ms(run) * 100 / run.task.work_ms, 99);
+        answer.report.running.push_back({task, run.run, std::string(), static_cast<std::int32_t>(percent), 0});
+    }
+    return answer;
+}
+
+order_answer memory_upstreams::send_now(const upstream_order& order, std::uint64_t token) {
+    std::lock_guard lock(mutex_);
+    advance_locked();
+    const auto& id = std::visit([](const auto& specific) -> const upstream_id& { return specific.upstream; }, order);
+    auto* upstream = find(id);
+    if (upstream == nullptr) {
+        return {order_result::unknown, 0};
+    }
+    if (token < upstream->token) {
+        return {order_result::refused_token, read_clock(*upstream)};
+    }
+    upstream->token = token;
+    if (const auto* start_it = std::get_if<start_order>(&order)) {
+        return start(*upstream, *start_it);
+    }
+    if (const auto* stop_it = std::get_if<stop_order>(&order)) {
+        return stop(*upstream, *stop_it);
+    }
+    return {order_result::accepted, read_clock(*upstream)};
+}
+
+order_answer memory_upstreams::start(modelled_upstream& upstream, const start_order& order) {
+    const auto clock = read_clock(upstream);
+    if (order.lease_until_clock_ms < clock) {
+        return {order_result::refused_late, clock};
+    }
+    upstream.lease_until =
+        std::max(upstream.lease_until, upstream.born_at + milliseconds(order.lease_until_clock_ms));
+    const auto running = upstream.runs.find(order.task);
+    if (running != upstream.runs.end()) {
+        const bool is_same = running->second.run == order.run;
+        return {is_same ? order_result::accepted : order_result::refused_outdated, clock};
+    }
+    const auto excluded = upstream.excluded.find(order.task);
+    if (excluded != upstream.excluded.end() && order.run <= excluded->second) {
+        return {order_result::refused_outdated, clock};
+    }
+    const auto task = model_(order.task);
+    check_start(upstream, order, task);
+    modelled_run run;
+    run.run = order.run;
+    run.task = task;
+    run.started_at = get_now(clock_);
+    run.done_before_ms = order.checkpoint.empty() ? 0 : std::stoll(order.checkpoint);
+    upstream.used = upstream.used + task.size;
+    upstream.runs.emplace(order.task, run);
+    ++starts_;
+    return {order_result::accepted, clock};
+}
+
+void memory_upstreams::check_start(const modelled_upstream& upstream, const start_order& order,
+                                   const modelled_task& task) {
+    const auto name = order.task.to_string() + "/" + std::to_string(order.run);
+    if (!(upstream.used + task.size).is_within(upstream.entry.capacity)) {
+        breaches_.push_back("start of " + name + " overcommits " + upstream.entry.id.get());
+    }
+    for (const auto& [id, other] : upstreams_) {
+        if (other.runs.contains(order.task)) {
+            breaches_.push_back("start of " + name + " while it runs on " + id.get());
+        }
+    }
+    if (acknowledged_.contains(order.task) && !task.is_lasting) {
+        breaches_.push_back("start of " + name + " after it ended done");
+    }
+}
+
+order_answer memory_upstreams::stop(modelled_upstream& upstream, const stop_order& order) {
+    auto& excluded = upstream.excluded[order.task];
+    excluded = std::max(excluded, order.run);
+    const auto found = upstream.runs.find(order.task);
+    if (found != upstream.runs.end() && found->second.run <= order.run && !found->second.stops_at) {
+        found->second.stops_at = get_now(clock_) + stop_time;
+    }
+    return {order_result::accepted, read_clock(upstream)};
+}
+
+void memory_upstreams::end_run(modelled_upstream& upstream, const task_ref& task, run_end how) {
+    const auto found = upstream.runs.find(task);
+    const auto& run = found->second;
+    std::string checkpoint;
+    if (run.task.saves_checkpoints && how != run_end::done) {
+        const auto saved = get_done_ms(run) / checkpoint_interval_ms * checkpoint_interval_ms;
+        checkpoint = saved > 0 ? std::to_string(saved) : std::string();
+    }
+    upstream.ended.push_back({upstream.next_end++, task, run.run, how, checkpoint});
+    auto& excluded = upstream.excluded[task];
+    excluded = std::max(excluded, run.run);
+    upstream.used = upstream.used - run.task.size;
+    upstream.runs.erase(found);
+}
+
+void memory_upstreams::advance() {
+    std::lock_guard lock(mutex_);
+    advance_locked();
+}
+
+void memory_upstreams::advance_locked() {
+    const auto now = get_now(clock_);
+    for (auto& [id, upstream] : upstreams_) {
+        std::vector<std::pair<task_ref, run_end>> ends;
+        for (const auto& [task, run] : upstream.runs) {
+            const bool is_finished = !run.task.is_lasting && get_done_ms(run) >= run.task.work_ms;
+            if (now >= upstream.lease_until) {
+                ends.emplace_back(task, run_end::lapsed);
+            } else if (run.stops_at && now >= *run.stops_at) {
+                ends.emplace_back(task, run_end::stopped);
+            } else if (is_finished && (upstream.is_failing || failed_runs_[task] < run.task.failing_runs)) {
+                ++failed_runs_[task];
+                ends.emplace_back(task, run_end::failed);
+            } else if (is_finished) {
+                ends.emplace_back(task, run_end::done);
+            }
+        }
+        for (const auto& [task, how] : ends) {
+            end_run(upstream, task, how);
+        }
+    }
+}
+
+std::vector<std::string> memory_upstreams::get_breaches() const {
+    std::lock_guard lock(mutex_);
+    return breaches_;
+}
+
+std::size_t memory_upstreams::count_running() const {
+    std::lock_guard lock(mutex_);
+    std::size_t count = 0;
+    for (const auto& [id, upstream] : upstreams_) {
+        count += upstream.runs.size();
+    }
+    return count;
+}
+
+std::size_t memory_upstreams::count_running(const upstream_id& id) const {
+    std::lock_guard lock(mutex_);
+    const auto found = upstreams_.find(id);
+    return found == upstreams_.end() ? 0 : found->second.runs.size();
+}
+
+std::size_t memory_upstreams::get_start_count() const {
+    std::lock_guard lock(mutex_);
+    return starts_;
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/connection/memory_upstreams.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "connection/asio.hpp"
+#include "connection/upstream_port.hpp"
+#include "process/clock.hpp"
+#include "process/job_spec.hpp"
+#include "process/ordered_mutex.hpp"
+#include "process/upstream_entry.hpp"
+#include "process/upstream_order.hpp"
+#include "process/upstream_report.hpp"
+
+namespace jacinthvane {
+
+// How a task behaves when it runs on the modelled upstreams.
+struct modelled_task {
+    resource_vector size;
+    std::int64_t work_ms = 1000;
+    // How many of its first runs fail.
+    std::uint32_t failing_runs = 0;
+    bool is_lasting = false;
+    bool saves_checkpoints = false;
+
+    bool operator==(const modelled_task&) const = default;
+};
+
+// Upstreams inside one process, for tests: tokens, leases, lists of runs and ends, stops that exclude later
+// starts. Notes every breach of what must never happen. All times are those of the given clock; nothing happens
+// between calls of advance. Safe to call from any thread.
+class memory_upstreams {
+public:
+    // Tells how a task behaves.
+    using task_model = std::function<modelled_task(const task_ref&)>;
+
+    memory_upstreams(clock_source clock, task_model model);
+
+    // Calls as upstream_port makes them.
+    bool has_look_connection(const std::string& address);
+    awaitable<look_answer> look(std::string address, look_order order, std::uint64_t token, time_point deadline);
+    awaitable<order_answer> send(std::string address, upstream_order order, std::uint64_t token,
+                                 time_point deadline);
+    awaitable<absl::StatusOr<advice_answer>> advise(advice_request request, time_point deadline);
+
+    // The same calls without a coroutine.
+    look_answer look_now(const std::string& address, const look_order& order, std::uint64_t token);
+    order_answer send_now(const upstream_order& order, std::uint64_t token);
+
+    void add(const upstream_entry& entry);
+    // The upstream forgets all and begins a new life.
+    void restart(const upstream_id& id, std::int64_t born_unix_ms);
+    // Nothing reaches the upstream or comes back; what runs there runs on until its lease ends.
+    void set_cut(const upstream_id& id, bool is_cut);
+    // All runs there fail.
+    void set_failing(const upstream_id& id, bool is_failing);
+    // Runs what has come due.
+    void advance();
+
+    std::vector<std::string> get_breaches() const;
+    std::size_t count_running() const;
+    std::size_t count_running(const upstream_id& id) const;
+    std::size_t get_start_count() const;
+
+private:
+    struct modelled_run {
+        std::uint64_t run = 0;
+        modelled_task task;
+        time_point started_at;
+        std::int64_t done_before_ms = 0;
+        std::optional<time_point> stops_at;
+    };
+    struct modelled_upstream {
+        upstream_entry entry;
+        std::uint64_t token = 0;
+        time_point born_at;
+        time_point lease_until;
+        std::uint64_t next_end = 1;
+        bool is_cut = false;
+        bool is_failing = false;
+        std::map<task_ref, modelled_run> runs;
+        std::map<task_ref, std::uint64_t> excluded;
+        std::vector<ended_row> ended;
+        resource_vector used;
+    };
+
+    modelled_upstream* find(const upstream_id& id);
+    std::int64_t read_clock(const modelled_upstream& upstream) const;
+    order_answer start(modelled_upstream& upstream, const start_order& order);
+    order_answer stop(modelled_upstream& upstream, const stop_order& order);
+    void end_run(modelled_upstream& upstream, const task_ref& task, run_end how);
+    void check_start(const modelled_upstream& upstream, const start_order& order, const modelled_task& task);
+    std::int64_t get_done_ms(const modelled_run& run) const;
+    void advance_locked();
+
+    const clock_source clock_;
+    const task_model model_;
+    mutable ordered_mutex mutex_{lock_rank::standin};
+    std::map<upstream_id, modelled_upstream> upstreams_;
+    // Runs of a task that failed, and tasks whose end was acknowledged as done.
+    std::map<task_ref, std::uint32_t> failed_runs_;
+    std::map<task_ref, bool> acknowledged_;
+    std::size_t starts_ = 0;
+    std::vector<std::string> breaches_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/connection/upstream_port.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "connection/asio.hpp"
+#include "process/cell_scheduler.hpp"
+#include "process/clock.hpp"
+#include "process/upstream_order.hpp"
+#include "process/upstream_report.hpp"
+
+namespace jacinthvane {
+
+class memory_upstreams;
+namespace platform {
+class upstream_connection;
+}
+
+// What came of a look. The report is valid if the result is accepted.
+struct look_answer {
+    order_result result = order_result::unknown;
+    upstream_report report;
+
+    bool operator==(const look_answer&) const = default;
+};
+
+// Upstreams that may run a step, with their tickets.
+struct advice_answer {
+    std::vector<std::pair<upstream_id, std::string>> allowed;
+    std::int64_t valid_ms = 0;
+
+    bool operator==(const advice_answer&) const = default;
+};
+
+// Sends the owner's orders to upstreams. Every order carries the owner's token.
+class upstream_port {
+public:
+    using backend =
+        std::variant<std::shared_ptr<platform::upstream_connection>, std::shared_ptr<memory_upstreams>>;
+
+    explicit upstream_port(backend upstreams) : backend_(std::move(upstreams)) {}
+
+    // True if a look would use the connection of the last look.
+    bool has_look_connection(const std::string& address);
+    // A look that acknowledges ends or renews leases is sent only on the connection of the last look.
+    awaitable<look_answer> look(std::string address, look_order order, std::uint64_t token, time_point deadline);
+    awaitable<order_answer> send(std::string address, upstream_order order, std::uint64_t token,
+                                 time_point deadline);
+    awaitable<absl::StatusOr<advice_answer>> advise(advice_request request, time_point deadline);
+
+private:
+    backend backend_;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/cell_placement.cpp
@@ -0,0 +1,503 @@
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
+#include "process/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+constexpr std::chrono::milliseconds maintenance_interval{40};
+// A run whose progress stands still this long is moved to another upstream.
+constexpr std::chrono::milliseconds stall_limit{3000};
+constexpr std::int32_t slow_pace = 50;
+constexpr std::int64_t high_pressure_permille = 750;
+// A leaving upstream has to be left this long before its time ends, so that a checkpoint is saved and listed.
+constexpr std::chrono::milliseconds leave_margin{900};
+// Run numbers of one owner; the next owner's numbers begin above them.
+constexpr std::uint32_t run_number_bits = 20;
+// Tickets with less time left are not used, since the start has to arrive before they end.
+constexpr std::chrono::milliseconds ticket_margin{250};
+constexpr std::size_t max_advised_upstreams = 20;
+// A job that has missed three times its objective is worth nothing more to its caller than any later end.
+constexpr std::int64_t late_factor = 3;
+
+// Costs of a placement; 1 is an upstream whose processors are all taken.
+constexpr double remote_cost = 3.0;
+constexpr double avoided_cost = 2.0;
+constexpr double failure_cost = 0.3;
+constexpr double filler_share_cost = 0.3;
+constexpr double pressure_cost = 1.5;
+
+bool is_avoided(const task_record& task, const upstream_id& upstream) {
+    return std::find(task.avoided.begin(), task.avoided.end(), upstream) != task.avoided.end();
+}
+
+std::uint32_t count_runs_of_step(const upstream_ledger& upstream, const step_ref& step) {
+    return static_cast<std::uint32_t>(
+        std::count_if(upstream.runs.begin(), upstream.runs.end(),
+                      [&](const auto& entry) { return entry.first.first.get_step() == step; }));
+}
+
+bool has_passing_runs(const upstream_ledger& upstream) {
+    return std::any_of(upstream.runs.begin(), upstream.runs.end(),
+                       [](const auto& entry) { return !entry.second.is_lasting; });
+}
+
+bool has_slow_fillers(const upstream_ledger& upstream) {
+    return std::any_of(upstream.runs.begin(), upstream.runs.end(), [](const auto& entry) {
+        return entry.second.filler_milli > 0 && entry.second.pace < slow_pace;
+    });
+}
+
+resource_vector get_committed_size(const step_spec& spec) {
+    if (!spec.is_filler) {
+        return spec.size;
+    }
+    return {0, spec.size.get_memory_mb(), spec.size.get_accelerators(), spec.size.get_slots()};
+}
+
+}  // namespace
+
+cell_decisions cell_scheduler::decide(clock_reading clock, bool may_start) {
+    cell_decisions decisions;
+    if (is_fenced_) {
+        return decisions;
+    }
+    const auto now = clock.now;
+    if (now >= next_maintenance_) {
+        next_maintenance_ = now + maintenance_interval;
+        release_lapsed_runs(now);
+        for (auto& [id, upstream] : upstreams_) {
+            stop_stalled_runs(upstream, now);
+            move_from_leaving(upstream, now);
+        }
+        const auto scheduled = scheduled_jobs_;
+        for (const auto& id : scheduled) {
+            if (auto* job = find_job(id)) {
+                open_due_occurrences(*job, clock);
+                update_waiting(*job);
+            }
+        }
+    }
+    decisions.orders.swap(queued_orders_);
+    for (auto& [id, upstream] : upstreams_) {
+        repeat_orders(upstream, now, may_start, decisions.orders);
+    }
+    if (!may_start) {
+        return decisions;
+    }
+    unplaced_.clear();
+    const bool settled = is_settled(now);
+    for (auto* job : sort_waiting_jobs(now)) {
+        if (job->is_inherited && !settled) {
+            continue;
+        }
+        for (auto& [number, occurrence] : job->occurrences) {
+            for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                place_step(*job, occurrence, step, now, decisions);
+            }
+        }
+        update_waiting(*job);
+    }
+    return decisions;
+}
+
+bool cell_scheduler::is_settled(time_point now) const {
+    return std::all_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+        return entry.second.has_answered || now >= entry.second.lapse_at;
+    });
+}
+
+void cell_scheduler::release_lapsed_runs(time_point now) {
+    std::vector<upstream_id> gone;
+    for (auto& [id, upstream] : upstreams_) {
+        const bool is_quiet = upstream.is_silent || !upstream.has_answered;
+        if (!is_quiet || now < upstream.lapse_at) {
+            continue;
+        }
+        while (!upstream.runs.empty()) {
+            release_run(upstream, upstream.runs.begin()->first, now);
+        }
+        if (!upstream.is_listed) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        upstreams_.erase(id);
+    }
+}
+
+void cell_scheduler::repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
+                                   std::vector<upstream_order>& orders) {
+    for (auto& [key, run] : upstream.runs) {
+        if (run.is_order_sent || now < run.next_order) {
+            continue;
+        }
+        if (run.phase == run_phase::stopping) {
+            run.is_order_sent = true;
+            orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second});
+        } else if (run.phase == run_phase::starting && may_start && !upstream.is_silent) {
+            auto* job = find_job(key.first.job);
+            const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+            if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
+                begin_stop(run, now);
+                continue;
+            }
+            run.is_order_sent = true;
+            const auto tickets = tickets_.find(key.first.get_step());
+            std::string ticket;
+            if (tickets != tickets_.end() && tickets->second.tickets.contains(upstream.entry.id)) {
+                ticket = tickets->second.tickets.at(upstream.entry.id);
+            }
+            orders.emplace_back(make_start(upstream, *job, key.first, key.second, ticket, now));
+        }
+    }
+}
+
+void cell_scheduler::stop_stalled_runs(upstream_ledger& upstream, time_point now) {
+    if (upstream.is_silent) {
+        return;
+    }
+    for (auto& [key, run] : upstream.runs) {
+        const bool is_at_work = run.is_lasting && run.percent >= 100;
+        const bool is_stalled = run.phase == run_phase::running && !is_at_work && run.percent >= 0 &&
+                                run.pace >= slow_pace && now - run.percent_changed_at > stall_limit;
+        if (!is_stalled) {
+            continue;
+        }
+        auto* job = find_job(key.first.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+        if (task == nullptr) {
+            continue;
+        }
+        upstream.health.record_failure(key.first.job, !task->avoided.empty(), now);
+        task->avoided.push_back(upstream.entry.id);
+        begin_stop(run, now);
+    }
+}
+
+void cell_scheduler::move_from_leaving(upstream_ledger& upstream, time_point now) {
+    if (!upstream.entry.is_leaving || upstream.is_silent) {
+        return;
+    }
+    for (auto& [key, run] : upstream.runs) {
+        const auto* job = find_job(key.first.job);
+        if (run.phase != run_phase::running || job == nullptr) {
+            continue;
+        }
+        const bool saves = job->job->spec.steps[key.first.step].saves_checkpoints;
+        const bool is_time_up = now + leave_margin >= upstream.leaves_at;
+        if (run.is_lasting || (saves && is_time_up)) {
+            begin_stop(run, now);
+        }
+    }
+}
+
+std::vector<job_record*> cell_scheduler::sort_waiting_jobs(time_point now) {
+    using sort_key = std::tuple<bool, std::int32_t, time_point>;
+    std::vector<std::pair<sort_key, job_record*>> keyed;
+    for (const auto& id : waiting_jobs_) {
+        auto* job = find_job(id);
+        if (job == nullptr) {
+            continue;
+        }
+        const auto objective = job->get_objective();
+        const auto worthless_at = objective + std::chrono::milliseconds((late_factor - 1) * job->objective_ms);
+        keyed.emplace_back(sort_key{now > worthless_at, get_priority(*job), objective}, job);
+    }
+    std::sort(keyed.begin(), keyed.end(), [](const auto& left, const auto& right) {
+        return left.first != right.first ? left.first < right.first : left.second->id < right.second->id;
+    });
+    std::vector<job_record*> sorted;
+    for (const auto& [key, job] : keyed) {
+        sorted.push_back(job);
+    }
+    return sorted;
+}
+
+void cell_scheduler::place_step(job_record& job, occurrence_record& occurrence, std::uint32_t number,
+                                time_point now, cell_decisions& decisions) {
+    auto& step = occurrence.steps[number];
+    if (!step.is_released || step.get_waiting_tasks() == 0) {
+        return;
+    }
+    const step_ref ref{job.id, occurrence.number, number};
+    const auto& spec = job.job->spec.steps[number];
+    if (const auto* queue = find_queue(job); queue != nullptr && queue->advice) {
+        request_advice(job, ref, now, decisions);
+    }
+    if (spec.is_gang) {
+        place_gang(job, ref, now, decisions);
+        return;
+    }
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        auto& task = step.tasks[index];
+        if (task.phase != task_phase::waiting || now < task.not_before) {
+            continue;
+        }
+        const auto place = choose_upstream(job, ref, task, now);
+        if (!place) {
+            return;
+        }
+        start_task(job, {ref.job, ref.occurrence, number, index}, *place, get_next_run(task), now, decisions);
+    }
+}
+
+void cell_scheduler::place_gang(job_record& job, const step_ref& ref, time_point now,
+                                cell_decisions& decisions) {
+    auto& step = *job.find_step(ref);
+    // A member of the last run may still be there.
+    if (step.active_tasks > 0 || step.done_tasks > 0) {
+        return;
+    }
+    std::uint64_t run = 0;
+    std::string checkpoint;
+    for (const auto& task : step.tasks) {
+        if (now < task.not_before) {
+            return;
+        }
+        run = std::max(run, get_next_run(task));
+        checkpoint = task.checkpoint.empty() ? checkpoint : task.checkpoint;
+    }
+    const auto size = get_committed_size(job.job->spec.steps[ref.step]);
+    std::vector<placement> places;
+    std::vector<std::pair<upstream_ledger*, task_ref>> held;
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        const auto place = choose_upstream(job, ref, step.tasks[index], now);
+        if (!place) {
+            break;
+        }
+        // Holds the room, so that the next member does not count on it.
+        run_record hold;
+        hold.committed = size;
+        const task_ref task{ref.job, ref.occurrence, ref.step, index};
+        place->upstream->add_run(task, run, hold);
+        held.emplace_back(place->upstream, task);
+        places.push_back(*place);
+    }
+    for (const auto& [upstream, task] : held) {
+        upstream->remove_run(task, run);
+    }
+    if (places.size() < step.tasks.size()) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+        step.tasks[index].checkpoint = checkpoint;
+        start_task(job, {ref.job, ref.occurrence, ref.step, index}, places[index], run, now, decisions);
+    }
+}
+
+std::optional<cell_scheduler::placement> cell_scheduler::choose_upstream(const job_record& job,
+                                                                         const step_ref& ref,
+                                                                         const task_record& task,
+                                                                         time_point now) {
+    const auto& spec = job.job->spec.steps[ref.step];
+    const auto service = get_service(job);
+    const bool is_plain =
+        spec.required_label.empty() && spec.max_per_upstream == 0 && task.avoided.empty();
+    const bool is_hopeless = std::any_of(unplaced_.begin(), unplaced_.end(), [&](const unplaced_size& other) {
+        return other.service == service && other.is_filler == spec.is_filler && other.size.is_within(spec.size);
+    });
+    if (is_hopeless) {
+        return std::nullopt;
+    }
+    const auto* queue = find_queue(job);
+    const bool needs_ticket = queue != nullptr && queue->advice.has_value();
+    const auto tickets = tickets_.find(ref);
+    const bool has_tickets = tickets != tickets_.end() && now + ticket_margin < tickets->second.valid_until;
+    if (needs_ticket && !has_tickets) {
+        return std::nullopt;
+    }
+    placement best;
+    double best_cost = 0;
+    for (auto& [id, upstream] : upstreams_) {
+        if (!is_eligible(upstream, job, ref, task, service, now)) {
+            continue;
+        }
+        if (needs_ticket && !tickets->second.tickets.contains(id)) {
+            continue;
+        }
+        const auto cost = get_cost(upstream, spec, task);
+        if (best.upstream == nullptr || cost < best_cost) {
+            best.upstream = &upstream;
+            best_cost = cost;
+        }
+    }
+    if (best.upstream == nullptr) {
+        if (is_plain && !needs_ticket) {
+            unplaced_.push_back({service, spec.size, spec.is_filler});
+        }
+        return std::nullopt;
+    }
+    if (needs_ticket) {
+        best.ticket = tickets->second.tickets.at(best.upstream->entry.id);
+    }
+    return best;
+}
+
+bool cell_scheduler::is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& ref,
+                                 const task_record& task, const std::string& service, time_point now) const {
+    const auto& spec = job.job->spec.steps[ref.step];
+    const auto& entry = upstream.entry;
+    const bool is_usable = upstream.is_listed && upstream.has_answered && !upstream.is_silent &&
+                           !entry.is_leaving && !upstream.health.is_blocked(now);
+    if (!is_usable || entry.service != service || !entry.has_label(spec.required_label)) {
+        return false;
+    }
+    if (!get_committed_size(spec).is_within(upstream.get_room())) {
+        return false;
+    }
+    if (upstream.health.is_on_trial() && has_passing_runs(upstream)) {
+        return false;
+    }
+    if (is_avoided(task, entry.id) && upstream.health.get_failures() > 0) {
+        return false;
+    }
+    if (spec.max_per_upstream > 0 && count_runs_of_step(upstream, ref) >= spec.max_per_upstream) {
+        return false;
+    }
+    if (!spec.is_filler) {
+        return true;
+    }
+    const auto processors = entry.capacity.get_processors_milli();
+    const auto used = upstream.estimate_used_milli() + upstream.filler_milli;
+    const bool has_leftover = used + spec.size.get_processors_milli() <= processors;
+    return has_leftover && upstream.pressure_permille < high_pressure_permille && !has_slow_fillers(upstream);
+}
+
+double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec,
+                                const task_record& task) const {
+    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
+    const auto scale = static_cast<double>(processors);
+    double cost = failure_cost * upstream.health.get_failures();
+    if (!spec.data_rack.empty() && spec.data_rack != upstream.entry.get_rack()) {
+        cost += remote_cost;
+    }
+    if (is_avoided(task, upstream.entry.id)) {
+        cost += avoided_cost;
+    }
+    const auto fillers = static_cast<double>(upstream.filler_milli);
+    if (spec.is_filler) {
+        cost += (static_cast<double>(upstream.estimate_used_milli()) + fillers) / scale;
+        return cost + pressure_cost * static_cast<double>(upstream.pressure_permille) / 1000;
+    }
+    cost += static_cast<double>(upstream.committed.get_processors_milli()) / scale;
+    return cost + filler_share_cost * fillers / scale;
+}
+
+void cell_scheduler::start_task(job_record& job, const task_ref& ref, const placement& place,
+                                std::uint64_t run, time_point now, cell_decisions& decisions) {
+    const auto& spec = job.job->spec.steps[ref.step];
+    auto& task = *job.find_task(ref);
+    task.phase = task_phase::active;
+    task.upstream = place.upstream->entry.id;
+    task.last_run = run;
+    ++job.find_step(ref.get_step())->active_tasks;
+    job.has_started = true;
+    run_record record;
+    record.committed = get_committed_size(spec);
+    record.filler_milli = spec.is_filler ? spec.size.get_processors_milli() : 0;
+    record.is_lasting = spec.is_lasting;
+    record.target_tail_ms = spec.target_tail_ms;
+    record.is_order_sent = true;
+    record.started_at = now;
+    place.upstream->add_run(ref, run, record);
+    decisions.orders.emplace_back(make_start(*place.upstream, job, ref, run, place.ticket, now));
+}
+
+start_order cell_scheduler::make_start(upstream_ledger& upstream, const job_record& job, const task_ref& ref,
+                                       std::uint64_t run, const std::string& ticket, time_point now) {
+    const auto found = job.occurrences.at(ref.occurrence).steps[ref.step].tasks[ref.index];
+    start_order order;
+    order.upstream = upstream.entry.id;
+    order.task = ref;
+    order.run = run;
+    order.payload = job.job->spec.payload;
+    order.checkpoint = found.checkpoint;
+    order.ticket = ticket;
+    order.lease_until_clock_ms = grant_lease(upstream, now);
+    return order;
+}
+
+std::uint64_t cell_scheduler::get_next_run(const task_record& task) const {
+    const auto first = ((token_ - 1) << run_number_bits) + 1;
+    return std::max(task.last_run + 1, first);
+}
+
+void cell_scheduler::request_advice(job_record& job, const step_ref& ref, time_point now,
+                                    cell_decisions& decisions) {
+    auto& tickets = tickets_[ref];
+    if (tickets.is_pending) {
+        return;
+    }
+    if (now + ticket_margin < tickets.valid_until && !tickets.tickets.empty()) {
+        return;
+    }
+    if (now + ticket_margin >= tickets.valid_until) {
+        tickets.tickets.clear();
+    }
+    const auto& spec = job.job->spec.steps[ref.step];
+    const task_record any_task;
+    const auto service = get_service(job);
+    std::vector<std::pair<double, upstream_id>> candidates;
+    for (const auto& [id, upstream] : upstreams_) {
+        if (!tickets.asked.contains(id) && is_eligible(upstream, job, ref, any_task, service, now)) {
+            candidates.emplace_back(get_cost(upstream, spec, any_task), id);
+        }
+    }
+    if (candidates.empty()) {
+        // All were asked: their answer does not change, but tickets end.
+        tickets.asked.clear();
+        return;
+    }
+    std::sort(candidates.begin(), candidates.end());
+    candidates.resize(std::min(candidates.size(), max_advised_upstreams));
+    advice_request request;
+    request.step = ref;
+    for (const auto& [cost, id] : candidates) {
+        request.upstreams.push_back(id);
+        tickets.asked.insert(id);
+    }
+    tickets.is_pending = true;
+    decisions.advice.push_back(std::move(request));
+}
+
+void cell_scheduler::apply_advice(const advice_request& request,
+                                  const std::vector<std::pair<upstream_id, std::string>>& allowed,
+                                  time_point valid_until) {
+    const auto found = tickets_.find(request.step);
+    if (found == tickets_.end()) {
+        return;
+    }
+    found->second.is_pending = false;
+    if (allowed.empty()) {
+        return;
+    }
+    found->second.valid_until = valid_until;
+    for (const auto& [upstream, ticket] : allowed) {
+        found->second.tickets[upstream] = ticket;
+    }
+}
+
+std::vector<queue_status> cell_scheduler::get_queue_statuses() const {
+    std::map<std::string, queue_status> statuses;
+    if (config_) {
+        for (const auto& queue : config_->queues) {
+            statuses[queue.rules.queue].queue = queue.rules.queue;
+        }
+    }
+    for (const auto& [id, job] : jobs_) {
+        auto& status = statuses[job.job->rules.queue];
+        status.queue = job.job->rules.queue;
+        status.pending += job.has_started || is_final(job.pending_end) ? 0 : 1;
+    }
+    std::vector<queue_status> list;
+    for (auto& [name, status] : statuses) {
+        list.push_back(status);
+    }
+    return list;
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/cell_reports.cpp
@@ -0,0 +1,550 @@
+#include <algorithm>
+#include <chrono>
+
+#include "process/cell_scheduler.hpp"
+#include "process/filler_pacing.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+// The upstream sends at most this many ends at once; with as many, its list of ends may be cut short.
+constexpr std::size_t max_listed_ends = 500;
+constexpr std::size_t max_avoided = 3;
+constexpr std::chrono::milliseconds order_repeat_delay{250};
+constexpr std::chrono::milliseconds failure_delay{50};
+constexpr std::chrono::milliseconds max_failure_delay{2000};
+// Covers rounding to whole milliseconds on both sides.
+constexpr std::chrono::milliseconds lease_slack{100};
+// A start that got no answer this often is given up and excluded by a stop.
+constexpr std::uint32_t max_unknown_starts = 3;
+constexpr std::int64_t max_wait_ms = 2000;
+// While fillers are paced, the figures of the upstream are wanted this often.
+constexpr std::int64_t pacing_wait_ms = 500;
+constexpr std::int64_t idle_wait_ms = 1500;
+
+void remember_avoided(task_record& task, const upstream_id& upstream) {
+    std::erase(task.avoided, upstream);
+    task.avoided.push_back(upstream);
+    if (task.avoided.size() > max_avoided) {
+        task.avoided.erase(task.avoided.begin());
+    }
+}
+
+std::chrono::milliseconds get_failure_delay(std::uint32_t failures) {
+    return std::min(failure_delay * (1U << std::min(failures, 6U)), max_failure_delay);
+}
+
+}  // namespace
+
+void cell_scheduler::expect_upstream(const upstream_entry& entry) {
+    auto& upstream = upstreams_[entry.id];
+    upstream.entry = entry;
+    upstream.born_unix_ms = entry.born_unix_ms;
+    const auto longest_lease = limits_.max_lease * 1000 / (1000 - limits_.clock_drift_permille);
+    upstream.lapse_at = owner_since_ + limits_.proof_window + longest_lease + lease_slack;
+}
+
+void cell_scheduler::list_upstream(const upstream_entry& entry, time_point now) {
+    const auto found = upstreams_.find(entry.id);
+    if (found == upstreams_.end()) {
+        auto& upstream = upstreams_[entry.id];
+        upstream.entry = entry;
+        upstream.born_unix_ms = entry.born_unix_ms;
+        upstream.lapse_at = now;
+        upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
+        upstream.is_listed = true;
+        return;
+    }
+    auto& upstream = found->second;
+    upstream.is_listed = true;
+    if (entry.born_unix_ms > upstream.born_unix_ms && upstream.born_unix_ms != 0) {
+        begin_life(upstream, entry.born_unix_ms, now);
+    }
+    if (entry.is_leaving && !upstream.entry.is_leaving) {
+        upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
+    }
+    upstream.entry = entry;
+}
+
+void cell_scheduler::unlist_upstream(const upstream_id& id) {
+    if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+        found->second.is_listed = false;
+    }
+}
+
+void cell_scheduler::begin_life(upstream_ledger& upstream, std::int64_t born_unix_ms, time_point now) {
+    while (!upstream.runs.empty()) {
+        release_run(upstream, upstream.runs.begin()->first, now);
+    }
+    upstream.born_unix_ms = born_unix_ms;
+    upstream.entry.born_unix_ms = born_unix_ms;
+    upstream.applied_end = 0;
+    upstream.durable_end = 0;
+    upstream.clock_ms = 0;
+    upstream.lapse_at = now;
+    upstream.has_answered = false;
+    upstream.health = upstream_health();
+}
+
+void cell_scheduler::end_life(const upstream_id& id, time_point now) {
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    begin_life(found->second, found->second.born_unix_ms, now);
+    found->second.is_silent = true;
+}
+
+std::int64_t cell_scheduler::grant_lease(upstream_ledger& upstream, time_point now) {
+    if (upstream.clock_ms == 0) {
+        return 0;
+    }
+    const auto until = upstream.estimate_clock_ms(now) + limits_.max_lease.count();
+    const std::chrono::milliseconds left(until - upstream.clock_ms);
+    const auto lapse = upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + lease_slack;
+    upstream.lapse_at = std::max(upstream.lapse_at, lapse);
+    return until;
+}
+
+look_order cell_scheduler::make_look(const upstream_id& id, time_point now, bool is_same_connection,
+                                     bool may_renew) {
+    look_order look;
+    look.upstream = id;
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end()) {
+        return look;
+    }
+    auto& upstream = found->second;
+    // On a new connection another life may answer, which would take the number for its own ends.
+    look.acknowledged_end = is_same_connection ? upstream.durable_end : 0;
+    if (upstream.has_answered && is_same_connection) {
+        look.lease_until_clock_ms = may_renew ? grant_lease(upstream, now) : 0;
+        look.wait_ms = needs_pacing(id) ? pacing_wait_ms : upstream.runs.empty() ? max_wait_ms : idle_wait_ms;
+    }
+    return look;
+}
+
+bool cell_scheduler::needs_pacing(const upstream_id& id) const {
+    const auto* upstream = find_upstream(id);
+    if (upstream == nullptr || upstream->filler_milli == 0) {
+        return false;
+    }
+    return std::any_of(upstream->runs.begin(), upstream->runs.end(),
+                       [](const auto& entry) { return entry.second.target_tail_ms > 0; });
+}
+
+bool cell_scheduler::has_unacknowledged_ends(const upstream_id& id) const {
+    const auto* upstream = find_upstream(id);
+    return upstream != nullptr && upstream->applied_end > upstream->durable_end;
+}
+
+void cell_scheduler::apply_report(const upstream_id& id, const upstream_report& report, clock_reading clock) {
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    auto& upstream = found->second;
+    const auto now = clock.now;
+    if (report.born_unix_ms != 0 && report.born_unix_ms != upstream.born_unix_ms) {
+        if (report.born_unix_ms < upstream.born_unix_ms) {
+            return;
+        }
+        begin_life(upstream, report.born_unix_ms, now);
+    }
+    upstream.is_silent = false;
+    upstream.answered_at = now;
+    upstream.clock_ms = report.clock_ms;
+    upstream.clock_read_at = now;
+    for (const auto& row : report.ended) {
+        if (row.number > upstream.applied_end) {
+            apply_end(upstream, row, now);
+            upstream.applied_end = row.number;
+            is_end_applied_ = true;
+        }
+    }
+    for (const auto& row : report.running) {
+        apply_running(upstream, row, report.clock_ms, now);
+    }
+    if (report.ended.size() < max_listed_ends) {
+        release_absent_runs(upstream, report, now);
+    }
+    upstream.has_answered = true;
+    update_pacing(upstream, report, now);
+}
+
+void cell_scheduler::apply_end(upstream_ledger& upstream, const ended_row& row, time_point now) {
+    const bool was_known = upstream.find_run(row.task, row.run) != nullptr;
+    upstream.remove_run(row.task, row.run);
+    auto* job = find_job(row.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(row.task);
+    if (task == nullptr || is_final(job->pending_end)) {
+        return;
+    }
+    const bool is_current = task->phase == task_phase::active && task->upstream == upstream.entry.id &&
+                            task->last_run == row.run;
+    // A run that this owner has neither started nor given up, found at the first look after a takeover.
+    const bool is_inherited = task->phase == task_phase::waiting && !was_known && row.run > task->last_run;
+    if (!is_current && !is_inherited) {
+        return;
+    }
+    task->last_run = row.run;
+    job->has_started = true;
+    const auto& spec = job->job->spec.steps[row.task.step];
+    if (!row.checkpoint.empty()) {
+        task->checkpoint = row.checkpoint;
+    }
+    if (row.how == run_end::done && !spec.is_lasting) {
+        upstream.health.record_success();
+        finish_task(*job, row.task, now);
+        return;
+    }
+    if (row.how == run_end::failed) {
+        fail_task(*job, row.task, row.run, upstream, now);
+        return;
+    }
+    if (!row.checkpoint.empty() && !spec.is_lasting) {
+        dirty_jobs_.insert(job->id);
+    }
+    return_task(*job, row.task, now);
+}
+
+void cell_scheduler::return_task(job_record& job, const task_ref& ref, time_point not_before) {
+    auto* task = job.find_task(ref);
+    auto* step = job.find_step(ref.get_step());
+    if (task->phase == task_phase::active) {
+        --step->active_tasks;
+        task->phase = task_phase::waiting;
+        task->upstream = upstream_id();
+    }
+    task->not_before = not_before;
+    const auto& spec = job.job->spec.steps[ref.step];
+    if (spec.is_gang) {
+        // The members run together or not at all, so the others have to end too.
+        for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+            auto& member = step->tasks[i];
+            if (member.phase != task_phase::active) {
+                continue;
+            }
+            const auto upstream = upstreams_.find(member.upstream);
+            auto* run = upstream == upstreams_.end()
+                            ? nullptr
+                            : upstream->second.find_run({ref.job, ref.occurrence, ref.step, i}, member.last_run);
+            if (run != nullptr) {
+                begin_stop(*run, not_before);
+            }
+        }
+    }
+    update_waiting(job);
+}
+
+void cell_scheduler::finish_task(job_record& job, const task_ref& ref, time_point now) {
+    auto* step = job.find_step(ref.get_step());
+    const bool is_gang = job.job->spec.steps[ref.step].is_gang;
+    for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
+        auto& task = step->tasks[i];
+        // One end of a gang stands for all its members.
+        if ((i != ref.index && !is_gang) || task.phase == task_phase::done) {
+            continue;
+        }
+        if (task.phase == task_phase::active) {
+            --step->active_tasks;
+        }
+        task.phase = task_phase::done;
+        task.avoided.clear();
+        task.checkpoint.clear();
+        ++step->done_tasks;
+    }
+    dirty_jobs_.insert(job.id);
+    auto& occurrence = job.occurrences.at(ref.occurrence);
+    if (step->is_done()) {
+        release_steps(job.job->spec, occurrence);
+        if (occurrence.is_done()) {
+            job.occurrences.erase(ref.occurrence);
+        }
+        if (job.occurrences.empty() && job.next_occurrence == job.job->spec.get_occurrence_count()) {
+            end_job(job, job_phase::done, now);
+        }
+    }
+    update_waiting(job);
+}
+
+void cell_scheduler::fail_task(job_record& job, const task_ref& ref, std::uint64_t run,
+                               upstream_ledger& upstream, time_point now) {
+    auto* task = job.find_task(ref);
+    auto* step = job.find_step(ref.get_step());
+    const auto& spec = job.job->spec.steps[ref.step];
+    upstream.health.record_failure(job.id, task->failures > 0, now);
+    remember_avoided(*task, upstream.entry.id);
+    const bool is_counted = !spec.is_gang || step->last_failed_run < run;
+    step->last_failed_run = std::max(step->last_failed_run, run);
+    if (is_counted) {
+        ++task->failures;
+    }
+    if (spec.is_lasting) {
+        return_task(job, ref, now + get_failure_delay(task->failures));
+        return;
+    }
+    dirty_jobs_.insert(job.id);
+    std::uint32_t failures = task->failures;
+    if (spec.is_gang) {
+        failures = 0;
+        for (const auto& member : step->tasks) {
+            failures += member.failures;
+        }
+    }
+    if (failures >= get_max_attempts(job)) {
+        return_task(job, ref, now);
+        end_job(job, job_phase::failed, now);
+        return;
+    }
+    return_task(job, ref, now + get_failure_delay(failures));
+}
+
+void cell_scheduler::apply_running(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
+                                   time_point now) {
+    auto* run = upstream.find_run(row.task, row.run);
+    if (run == nullptr) {
+        adopt_run(upstream, row, clock_ms, now);
+        run = upstream.find_run(row.task, row.run);
+    }
+    run->seen_clock_ms = clock_ms;
+    run->has_unknown_start = false;
+    if (run->phase == run_phase::starting) {
+        run->phase = run_phase::running;
+        run->percent_changed_at = now;
+    }
+    if (run->percent != row.percent) {
+        run->percent = row.percent;
+        run->percent_changed_at = now;
+    }
+    run->load = row.load;
+    auto* job = find_job(row.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(row.task);
+    if (task != nullptr && task->phase == task_phase::active && task->last_run == row.run &&
+        !row.checkpoint.empty()) {
+        task->checkpoint = row.checkpoint;
+    }
+}
+
+void cell_scheduler::adopt_run(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
+                               time_point now) {
+    run_record run;
+    run.phase = run_phase::running;
+    run.seen_clock_ms = clock_ms;
+    run.started_at = now;
+    run.percent_changed_at = now;
+    auto* job = find_job(row.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(row.task);
+    if (task == nullptr) {
+        // Its size is not known, so nothing else is started there until it is gone.
+        run.committed = upstream.get_room();
+        begin_stop(run, now);
+        upstream.add_run(row.task, row.run, run);
+        return;
+    }
+    const auto& spec = job->job->spec.steps[row.task.step];
+    const auto& size = spec.size;
+    run.committed = spec.is_filler
+                        ? resource_vector(0, size.get_memory_mb(), size.get_accelerators(), size.get_slots())
+                        : size;
+    run.filler_milli = spec.is_filler ? size.get_processors_milli() : 0;
+    run.is_lasting = spec.is_lasting;
+    run.target_tail_ms = spec.target_tail_ms;
+    const bool is_wanted = task->phase == task_phase::waiting && row.run > task->last_run &&
+                           !is_final(job->pending_end);
+    if (is_wanted) {
+        task->phase = task_phase::active;
+        task->upstream = upstream.entry.id;
+        task->last_run = row.run;
+        job->has_started = true;
+        ++job->find_step(row.task.get_step())->active_tasks;
+        update_waiting(*job);
+    } else {
+        begin_stop(run, now);
+    }
+    upstream.add_run(row.task, row.run, run);
+}
+
+void cell_scheduler::release_absent_runs(upstream_ledger& upstream, const upstream_report& report,
+                                         time_point now) {
+    std::set<run_key> listed;
+    for (const auto& row : report.running) {
+        listed.insert({row.task, row.run});
+    }
+    std::vector<run_key> absent;
+    for (const auto& [key, run] : upstream.runs) {
+        if (listed.contains(key)) {
+            continue;
+        }
+        const bool was_there = run.seen_clock_ms > 0 && report.clock_ms > run.seen_clock_ms;
+        const bool is_excluded = run.stopped_clock_ms > 0 && report.clock_ms > run.stopped_clock_ms;
+        if (was_there || is_excluded) {
+            absent.push_back(key);
+        }
+    }
+    for (const auto& key : absent) {
+        release_run(upstream, key, now);
+    }
+}
+
+void cell_scheduler::release_run(upstream_ledger& upstream, const run_key& key, time_point now) {
+    upstream.remove_run(key.first, key.second);
+    auto* job = find_job(key.first.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+    if (task == nullptr || is_final(job->pending_end)) {
+        return;
+    }
+    if (task->phase == task_phase::active && task->last_run == key.second &&
+        task->upstream == upstream.entry.id) {
+        return_task(*job, key.first, now);
+    }
+}
+
+void cell_scheduler::update_pacing(upstream_ledger& upstream, const upstream_report& report, time_point now) {
+    std::int64_t ratio = 0;
+    bool has_fillers = false;
+    std::int32_t pace = 100;
+    for (const auto& row : report.running) {
+        const auto* run = upstream.find_run(row.task, row.run);
+        if (run == nullptr) {
+            continue;
+        }
+        if (run->target_tail_ms > 0) {
+            ratio = std::max(ratio, row.load * 1000 / run->target_tail_ms);
+        }
+        if (run->filler_milli > 0 && run->phase == run_phase::running) {
+            has_fillers = true;
+            pace = std::min(pace, run->pace);
+        }
+    }
+    upstream.pressure_permille = (upstream.pressure_permille + ratio) / 2;
+    if (!has_fillers || now < upstream.paced_at) {
+        return;
+    }
+    const auto next_pace = choose_filler_pace(pace, ratio);
+    for (auto& [key, run] : upstream.runs) {
+        if (run.filler_milli == 0 || run.phase != run_phase::running || run.pace == next_pace) {
+            continue;
+        }
+        run.pace = next_pace;
+        upstream.paced_at = now + pace_settling_time;
+        queued_orders_.emplace_back(pace_order{upstream.entry.id, key.first, key.second, next_pace});
+    }
+}
+
+void cell_scheduler::mark_silent(const upstream_id& id, time_point now) {
+    const auto found = upstreams_.find(id);
+    if (found != upstreams_.end() && !found->second.is_silent) {
+        found->second.is_silent = true;
+        found->second.answered_at = std::min(found->second.answered_at, now);
+    }
+}
+
+void cell_scheduler::apply_answer(const upstream_order& order, const order_answer& answer,
+                                  clock_reading clock) {
+    struct visitor {
+        cell_scheduler& scheduler;
+        const order_answer& answer;
+        time_point now;
+
+        void operator()(const start_order& start) { scheduler.apply_start_answer(start, answer, now); }
+        void operator()(const stop_order& stop) { scheduler.apply_stop_answer(stop, answer, now); }
+        void operator()(const pace_order& pace) {
+            const auto found = scheduler.upstreams_.find(pace.upstream);
+            auto* run = found == scheduler.upstreams_.end() ? nullptr
+                                                            : found->second.find_run(pace.task, pace.run);
+            if (run != nullptr && answer.result != order_result::accepted) {
+                // Makes the next look send the pace again.
+                run->pace = 101;
+            }
+        }
+    };
+    if (answer.result == order_result::refused_token) {
+        is_fenced_ = true;
+    }
+    std::visit(visitor{*this, answer, clock.now}, order);
+}
+
+void cell_scheduler::begin_stop(run_record& run, time_point now) {
+    if (run.phase == run_phase::stopping) {
+        return;
+    }
+    run.phase = run_phase::stopping;
+    run.is_order_sent = false;
+    run.failed_orders = 0;
+    run.next_order = now;
+}
+
+void cell_scheduler::apply_start_answer(const start_order& order, const order_answer& answer, time_point now) {
+    const auto found = upstreams_.find(order.upstream);
+    auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
+    if (run == nullptr) {
+        return;
+    }
+    if (run->phase == run_phase::stopping) {
+        run->has_unknown_start = run->has_unknown_start || answer.result == order_result::unknown;
+        return;
+    }
+    run->is_order_sent = false;
+    auto& upstream = found->second;
+    switch (answer.result) {
+        case order_result::accepted:
+            run->seen_clock_ms = std::max(run->seen_clock_ms, answer.clock_ms);
+            run->phase = run_phase::running;
+            run->percent_changed_at = now;
+            return;
+        case order_result::unknown:
+            run->has_unknown_start = true;
+            ++run->failed_orders;
+            run->next_order = now + order_repeat_delay;
+            if (run->failed_orders >= max_unknown_starts && !upstream.is_silent) {
+                begin_stop(*run, now);
+            }
+            return;
+        case order_result::refused_other_life:
+            end_life(order.upstream, now);
+            return;
+        case order_result::refused_busy:
+            upstream.health.record_failure(order.task.job, false, now);
+            break;
+        default:
+            break;
+    }
+    if (run->phase == run_phase::running) {
+        return;
+    }
+    if (run->has_unknown_start) {
+        // An earlier sending may be carried out yet; a stop settles it.
+        begin_stop(*run, now);
+        return;
+    }
+    auto* job = find_job(order.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(order.task);
+    if (task != nullptr) {
+        remember_avoided(*task, order.upstream);
+    }
+    release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
+}
+
+void cell_scheduler::apply_stop_answer(const stop_order& order, const order_answer& answer, time_point now) {
+    const auto found = upstreams_.find(order.upstream);
+    auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
+    if (run == nullptr) {
+        return;
+    }
+    run->is_order_sent = false;
+    if (answer.result == order_result::refused_other_life) {
+        end_life(order.upstream, now);
+        return;
+    }
+    if (answer.result == order_result::accepted || answer.result == order_result::refused_outdated) {
+        run->stopped_clock_ms = std::max(run->stopped_clock_ms, answer.clock_ms);
+        // Sent again only if the end does not show up.
+        run->next_order = now + limits_.stop_timeout + std::chrono::seconds(2);
+        return;
+    }
+    run->next_order = now + order_repeat_delay;
+}
+
+}  // namespace jacinthvane
--- a/src/process/lock_order.hpp
+++ b/src/process/lock_order.hpp
@@ -12,6 +12,8 @@
     ownership = 30,
     admission = 40,
     shard_tables = 50,
+    cell = 55,
+    cell_member = 57,
     ledger = 60,
     interference = 70,
     ejection = 80,
@@ -22,6 +24,7 @@
     store = 130,
     standin = 140,
     signal = 200,
+    log = 210,
 };
 
 }  // namespace jacinthvane
--- /dev/null
+++ b/src/process/task_ref.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "process/ids.hpp"
+
+namespace jacinthvane {
+
+// Names one step of one occurrence of a job. Occurrence 0 stands for jobs that run once.
+struct step_ref {
+    job_id job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+
+    auto operator<=>(const step_ref&) const = default;
+
+    // Writes "JOB.OCCURRENCE.STEP".
+    std::string to_string() const;
+};
+
+// Names one task of a step.
+struct task_ref {
+    job_id job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const task_ref&) const = default;
+
+    step_ref get_step() const { return {job, occurrence, step}; }
+
+    // Writes "JOB.OCCURRENCE.STEP.INDEX".
+    std::string to_string() const;
+};
+
+// Reads what task_ref::to_string writes; anything else gives nullopt.
+std::optional<task_ref> parse_task_ref(std::string_view text);
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/upstream_health.cpp
@@ -0,0 +1,39 @@
+#include "process/upstream_health.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace jacinthvane {
+
+namespace {
+
+constexpr std::uint32_t failures_to_block = 3;
+constexpr std::size_t jobs_to_block = 2;
+constexpr std::chrono::milliseconds first_block{2500};
+constexpr std::uint32_t max_doublings = 3;
+
+}  // namespace
+
+void upstream_health::record_failure(const job_id& job, bool failed_elsewhere, time_point now) {
+    if (failed_elsewhere) {
+        return;
+    }
+    ++failures_in_row_;
+    failed_jobs_.insert(job);
+    const bool is_failing = failures_in_row_ >= failures_to_block && failed_jobs_.size() >= jobs_to_block;
+    if (!is_failing && !is_on_trial()) {
+        return;
+    }
+    blocked_until_ = now + first_block * (1U << std::min(blocks_, max_doublings));
+    ++blocks_;
+    failures_in_row_ = 0;
+    failed_jobs_.clear();
+}
+
+void upstream_health::record_success() {
+    failures_in_row_ = 0;
+    failed_jobs_.clear();
+    blocks_ = 0;
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/upstream_report.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "process/task_ref.hpp"
+
+namespace jacinthvane {
+
+// How a run ended. "broken": another member of its gang ended. "alone": the other members did not come.
+enum class run_end { done, failed, stopped, lapsed, broken, alone };
+
+std::string_view get_name(run_end how);
+
+// A run that is at work on an upstream.
+struct running_row {
+    task_ref task;
+    std::uint64_t run = 0;
+    std::string checkpoint;
+    std::int32_t percent = 0;
+    // Tail latency in milliseconds of a task that serves, processors in use (thousandths) of any other.
+    std::int64_t load = 0;
+
+    bool operator==(const running_row&) const = default;
+};
+
+// A run that has ended and whose end was not acknowledged yet. Numbers rise within one life of the upstream.
+struct ended_row {
+    std::uint64_t number = 0;
+    task_ref task;
+    std::uint64_t run = 0;
+    run_end how = run_end::failed;
+    std::string checkpoint;
+
+    bool operator==(const ended_row&) const = default;
+};
+
+// What an upstream says of its runs at a reading of its own clock.
+struct upstream_report {
+    std::int64_t clock_ms = 0;
+    // Tells one life of the upstream from the next, 0 if it is not told.
+    std::int64_t born_unix_ms = 0;
+    std::vector<running_row> running;
+    std::vector<ended_row> ended;
+
+    bool operator==(const upstream_report&) const = default;
+};
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/request/cell_member.cpp
@@ -0,0 +1,383 @@
+#include "request/cell_member.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "connection/spawn_task.hpp"
+#include "process/error_kind.hpp"
+#include "process/stable_hash.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds store_timeout{1500};
+constexpr milliseconds retry_delay{200};
+// Bounds how long a silent connection can hide a change.
+constexpr std::int64_t config_wait_ms = 1200;
+constexpr std::int64_t owner_wait_ms = 1500;
+constexpr milliseconds watch_margin{500};
+constexpr std::int64_t owner_lease_ms = 2500;
+constexpr milliseconds lease_renewal{700};
+// The store counts as lost after a failure with no success for this long.
+constexpr milliseconds store_patience{700};
+// Processes near the store and with more processor time contest the cell first.
+constexpr std::int64_t delay_per_store_ms = 6;
+constexpr std::int64_t delay_of_weakness_ms = 20;
+constexpr std::int64_t delay_spread_ms = 40;
+constexpr milliseconds max_contest_delay{800};
+
+time_point get_deadline(milliseconds timeout) { return std::chrono::steady_clock::now() + timeout; }
+
+}  // namespace
+
+cell_member::cell_member(asio::io_context& context, cell_ports ports, entry_settings settings,
+                         std::string process_name, metrics& counters)
+    : context_(context),
+      ports_(std::move(ports)),
+      settings_(std::move(settings)),
+      process_name_(std::move(process_name)),
+      metrics_(counters) {}
+
+void cell_member::spawn(const char* name, awaitable<void> task) {
+    spawn_task(context_, name, keep_alive(shared_from_this(), std::move(task)));
+}
+
+awaitable<void> cell_member::keep_alive(std::shared_ptr<cell_member>, awaitable<void> task) {
+    co_await std::move(task);
+}
+
+void cell_member::start() {
+    spawn("follow_config", follow_config());
+    spawn("follow_owner", follow_owner());
+}
+
+bool cell_member::is_stopping() const {
+    std::lock_guard lock(mutex_);
+    return is_stopping_;
+}
+
+std::shared_ptr<const dispatch_config> cell_member::get_config() const {
+    std::lock_guard lock(mutex_);
+    return config_;
+}
+
+std::shared_ptr<cell_owner> cell_member::get_owner() const {
+    std::lock_guard lock(mutex_);
+    return owner_;
+}
+
+std::optional<cell_row> cell_member::get_owner_row() const {
+    std::lock_guard lock(mutex_);
+    return owner_row_;
+}
+
+void cell_member::record_store_call(bool is_ok) {
+    std::lock_guard lock(mutex_);
+    (is_ok ? store_ok_at_ : store_failed_at_) = std::chrono::steady_clock::now();
+}
+
+bool cell_member::is_ready() const {
+    std::lock_guard lock(mutex_);
+    const bool is_store_lost = store_failed_at_ > store_ok_at_ &&
+                               std::chrono::steady_clock::now() > store_ok_at_ + store_patience;
+    return config_ != nullptr && !is_stopping_ && !is_store_lost;
+}
+
+awaitable<void> cell_member::stop(time_point deadline) {
+    std::shared_ptr<cell_owner> owner;
+    std::uint64_t lease = 0;
+    {
+        std::lock_guard lock(mutex_);
+        is_stopping_ = true;
+        owner = owner_;
+        lease = lease_;
+    }
+    if (owner == nullptr || owner->is_over()) {
+        co_return;
+    }
+    co_await owner->stop(deadline);
+    // The end of the lease tells the others at once that the cell is free.
+    const auto status = co_await ports_.store.end_lease(lease, deadline);
+    LOG(INFO) << "event=cell_handed_over token=" << owner->get_token() << " result=\""
+              << (status.ok() ? "ok" : std::string(status.message())) << "\"";
+}
+
+void cell_member::install_config(const config_state& state) {
+    if (state.config == nullptr) {
+        return;
+    }
+    std::shared_ptr<cell_owner> owner;
+    {
+        std::lock_guard lock(mutex_);
+        if (config_ != nullptr && state.config->version <= config_->version) {
+            return;
+        }
+        config_ = state.config;
+        owner = owner_;
+    }
+    LOG(INFO) << "event=config_installed version=" << state.config->version << " revision=" << state.revision
+              << " queues=" << state.config->queues.size();
+    metrics_.set_config_version(state.config->version);
+    metrics_.count(decision::config_change);
+    if (owner != nullptr) {
+        owner->set_config(state.config);
+    }
+}
+
+awaitable<void> cell_member::follow_config() {
+    bool needs_read = true;
+    std::uint64_t revision = 0;
+    while (!is_stopping()) {
+        const auto begun = std::chrono::steady_clock::now();
+        absl::StatusOr<config_state> state = absl::UnknownError("not read");
+        if (needs_read) {
+            state = co_await ports_.registry.get_config(get_deadline(store_timeout));
+        } else {
+            const auto deadline = get_deadline(milliseconds(config_wait_ms) + watch_margin);
+            state = co_await ports_.registry.watch_config(revision, config_wait_ms, deadline);
+        }
+        const bool is_gone =
+            !state.ok() && get_error_kind(state.status()) == error_kind::version_conflict;
+        record_store_call(state.ok() || is_gone);
+        if (state.ok()) {
+            if (needs_read) {
+                std::lock_guard lock(mutex_);
+                store_delay_ = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
+            }
+            install_config(*state);
+            revision = state->revision;
+            // Without a first configuration there is no revision to wait from.
+            needs_read = revision == 0;
+            if (!needs_read) {
+                continue;
+            }
+        } else {
+            needs_read = true;
+            if (is_gone) {
+                continue;
+            }
+        }
+        co_await wait_until(get_deadline(retry_delay));
+    }
+}
+
+void cell_member::set_owner_row(const store_item& item) {
+    std::optional<cell_row> row;
+    if (item.revision > 0) {
+        const auto decoded = decode_cell_row(item.value);
+        if (decoded.ok()) {
+            row = *decoded;
+        } else {
+            LOG(ERROR) << "event=owner_unreadable error=\"" << decoded.status().message() << "\"";
+        }
+    }
+    std::lock_guard lock(mutex_);
+    if (owner_row_ != row) {
+        LOG(INFO) << "event=owner_seen token=" << (row ? row->token : 0) << " owner=" << (row ? row->owner : "none")
+                  << " revision=" << item.revision;
+    }
+    owner_row_ = row;
+}
+
+awaitable<void> cell_member::follow_owner() {
+    const std::string key = make_owner_key();
+    const std::string prefix(owner_prefix);
+    while (!is_stopping()) {
+        const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+        record_store_call(item.ok());
+        if (!item.ok()) {
+            co_await wait_until(get_deadline(retry_delay));
+            continue;
+        }
+        set_owner_row(*item);
+        if (item->revision == 0) {
+            co_await contest();
+            continue;
+        }
+        std::uint64_t revision = item->revision;
+        bool is_owned = true;
+        while (is_owned && !is_stopping()) {
+            const auto deadline = get_deadline(milliseconds(owner_wait_ms) + watch_margin);
+            const auto changes = co_await ports_.store.watch(prefix, revision, owner_wait_ms, deadline);
+            record_store_call(changes.ok() ||
+                              get_error_kind(changes.status()) == error_kind::version_conflict);
+            if (!changes.ok()) {
+                break;
+            }
+            revision = changes->revision;
+            for (const auto& change : changes->changes) {
+                const auto present = change.is_removed ? store_item{key, std::string(), 0, 0} : change.item;
+                set_owner_row(present);
+                is_owned = !change.is_removed;
+            }
+        }
+        if (is_owned) {
+            co_await wait_until(get_deadline(milliseconds(20)));
+        }
+    }
+}
+
+milliseconds cell_member::get_contest_delay() const {
+    std::lock_guard lock(mutex_);
+    const auto weakness = 1000 / std::max<std::int64_t>(settings_.processors_milli, 10);
+    const auto spread = static_cast<std::int64_t>(get_stable_hash(process_name_) % delay_spread_ms);
+    const milliseconds delay(store_delay_.count() * delay_per_store_ms + weakness * delay_of_weakness_ms / 4 + spread);
+    return std::min(delay, max_contest_delay);
+}
+
+awaitable<void> cell_member::contest() {
+    if (co_await renew_claim()) {
+        co_return;
+    }
+    // Every contest costs calls of the store, so the process that is best placed tries first.
+    co_await wait_until(get_deadline(get_contest_delay()));
+    if (is_stopping() || get_config() == nullptr) {
+        co_return;
+    }
+    const std::string key = make_owner_key();
+    const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+    if (!item.ok() || item->revision > 0) {
+        co_return;
+    }
+    if (!co_await take_cell()) {
+        co_await wait_until(get_deadline(milliseconds(50)));
+    }
+}
+
+// An owner whose lease ended, as happens while the store is away, keeps the cell if nobody took it.
+awaitable<bool> cell_member::renew_claim() {
+    const auto owner = get_owner();
+    if (owner == nullptr || owner->is_over()) {
+        co_return false;
+    }
+    const std::string key = make_cell_key();
+    const auto row = co_await ports_.store.get(key, get_deadline(store_timeout));
+    if (!row.ok()) {
+        co_return true;
+    }
+    std::uint64_t expected = 0;
+    {
+        std::lock_guard lock(mutex_);
+        expected = cell_revision_;
+    }
+    if (row->revision != expected) {
+        co_return false;
+    }
+    const auto lease = co_await ports_.store.grant_lease(owner_lease_ms, get_deadline(store_timeout));
+    if (!lease.ok()) {
+        co_return true;
+    }
+    const auto decoded = decode_cell_row(row->value);
+    if (!decoded.ok()) {
+        co_return false;
+    }
+    store_transaction transaction;
+    transaction.conditions = {{key, expected}, {make_owner_key(), 0}};
+    transaction.writes = {{make_owner_key(), row->value, lease->id}};
+    const auto result = co_await ports_.store.transact(transaction, get_deadline(store_timeout));
+    if (!result.ok() || !result->is_applied) {
+        co_return true;
+    }
+    LOG(INFO) << "event=claim_renewed token=" << decoded->token << " lease=" << lease->id;
+    {
+        std::lock_guard lock(mutex_);
+        lease_ = lease->id;
+    }
+    spawn("keep_lease", keep_lease(lease->id));
+    co_return true;
+}
+
+awaitable<bool> cell_member::take_cell() {
+    const std::string key = make_cell_key();
+    const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+    if (!item.ok()) {
+        co_return false;
+    }
+    cell_row row;
+    if (item->revision > 0) {
+        const auto decoded = decode_cell_row(item->value);
+        if (!decoded.ok()) {
+            LOG(ERROR) << "event=cell_row_unreadable error=\"" << decoded.status().message() << "\"";
+            co_return false;
+        }
+        row = *decoded;
+    }
+    ++row.token;
+    row.owner = process_name_;
+    row.address = settings_.peer_address;
+    co_return co_await write_claim(row, item->revision);
+}
+
+awaitable<bool> cell_member::write_claim(cell_row row, std::uint64_t expected_revision) {
+    const auto lease = co_await ports_.store.grant_lease(owner_lease_ms, get_deadline(store_timeout));
+    if (!lease.ok()) {
+        co_return false;
+    }
+    store_transaction transaction;
+    transaction.conditions = {{make_cell_key(), expected_revision}, {make_owner_key(), 0}};
+    transaction.writes = {{make_cell_key(), encode_record(row), 0},
+                          {make_owner_key(), encode_record(row), lease->id}};
+    const auto result = co_await ports_.store.transact(transaction, get_deadline(store_timeout));
+    std::uint64_t revision = 0;
+    if (result.ok()) {
+        revision = result->is_applied ? result->revision : 0;
+    } else if (get_error_kind(result.status()) == error_kind::store_outcome_unknown) {
+        // Two processes never write the same row, since it names its process and the token rises.
+        const std::string key = make_cell_key();
+        const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+        const auto present = item.ok() ? decode_cell_row(item->value) : absl::StatusOr<cell_row>(item.status());
+        revision = present.ok() && *present == row ? item->revision : 0;
+    }
+    if (revision == 0) {
+        co_await ports_.store.end_lease(lease->id, get_deadline(store_timeout));
+        co_return false;
+    }
+    LOG(INFO) << "event=cell_taken token=" << row.token << " revision=" << revision << " lease=" << lease->id;
+    metrics_.count(decision::takeover);
+    const cell_claim claim{row, revision, std::chrono::steady_clock::now()};
+    const auto owner = std::make_shared<cell_owner>(context_, ports_, settings_.limits, claim, metrics_);
+    std::shared_ptr<const dispatch_config> config;
+    {
+        std::lock_guard lock(mutex_);
+        owner_ = owner;
+        owner_row_ = row;
+        lease_ = lease->id;
+        cell_revision_ = revision;
+        config = config_;
+    }
+    owner->start(config);
+    spawn("keep_lease", keep_lease(lease->id));
+    co_return true;
+}
+
+awaitable<void> cell_member::keep_lease(std::uint64_t lease) {
+    const auto owner = get_owner();
+    while (!owner->is_over()) {
+        co_await wait_until(get_deadline(lease_renewal));
+        {
+            std::lock_guard lock(mutex_);
+            if (lease_ != lease || owner_ != owner) {
+                co_return;
+            }
+        }
+        const auto status = co_await ports_.store.renew_lease(lease, get_deadline(store_timeout));
+        record_store_call(status.ok());
+        if (!status.ok() && get_error_kind(status) == error_kind::not_found) {
+            LOG(WARNING) << "event=owner_lease_ended lease=" << lease;
+            co_return;
+        }
+    }
+    // Ownership ended for another reason: the others need not wait for the lease.
+    if (!is_stopping()) {
+        co_await ports_.store.end_lease(lease, get_deadline(store_timeout));
+    }
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/request/cell_member.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "connection/async_signal.hpp"
+#include "connection/cell_records.hpp"
+#include "process/metrics.hpp"
+#include "process/ordered_mutex.hpp"
+#include "request/cell_owner.hpp"
+#include "version/dispatch_config.hpp"
+#include "version/entry_settings.hpp"
+
+namespace jacinthvane {
+
+// One process of the cell: follows the configuration and who owns the cell, and takes the cell over when it
+// has no owner. Safe to call from any thread.
+class cell_member : public std::enable_shared_from_this<cell_member> {
+public:
+    cell_member(asio::io_context& context, cell_ports ports, entry_settings settings, std::string process_name,
+                metrics& counters);
+
+    void start();
+    // Hands the cell over, if this process owns it, and contests it no more.
+    awaitable<void> stop(time_point deadline);
+
+    // The configuration in force, or null if none was read yet.
+    std::shared_ptr<const dispatch_config> get_config() const;
+    // The owner running in this process, or null.
+    std::shared_ptr<cell_owner> get_owner() const;
+    // Where the owner answers, or nothing if none is known.
+    std::optional<cell_row> get_owner_row() const;
+    // True if requests can be taken: a configuration is in force and the store answers.
+    bool is_ready() const;
+    // Calls of other parts to the store tell how it does, too.
+    void record_store_call(bool is_ok);
+
+private:
+    void spawn(const char* name, awaitable<void> task);
+    static awaitable<void> keep_alive(std::shared_ptr<cell_member> self, awaitable<void> task);
+    awaitable<void> follow_config();
+    awaitable<void> follow_owner();
+    awaitable<void> contest();
+    awaitable<bool> take_cell();
+    awaitable<bool> renew_claim();
+    awaitable<bool> write_claim(cell_row row, std::uint64_t expected_revision);
+    awaitable<void> keep_lease(std::uint64_t lease);
+
+    void install_config(const config_state& state);
+    void set_owner_row(const store_item& item);
+    std::chrono::milliseconds get_contest_delay() const;
+    bool is_stopping() const;
+
+    asio::io_context& context_;
+    cell_ports ports_;
+    const entry_settings settings_;
+    const std::string process_name_;
+    metrics& metrics_;
+    mutable ordered_mutex mutex_{lock_rank::cell_member};
+    std::shared_ptr<const dispatch_config> config_;
+    std::shared_ptr<cell_owner> owner_;
+    std::optional<cell_row> owner_row_;
+    bool is_stopping_ = false;
+    std::uint64_t lease_ = 0;
+    std::uint64_t cell_revision_ = 0;
+    time_point store_ok_at_;
+    time_point store_failed_at_;
+    // How long a read of the store takes.
+    std::chrono::milliseconds store_delay_{50};
+    async_signal stopped_;
+};
+
+}  // namespace jacinthvane
--- a/src/request/job_service.cpp
+++ b/src/request/job_service.cpp
@@ -26,12 +26,6 @@
     return std::chrono::steady_clock::now();
 }
 
-std::int64_t get_unix_ms() {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 work_state to_work_state(job_state state) {
     switch (state) {
         case job_state::queued:
--- /dev/null
+++ b/src/request/job_submission.cpp
@@ -0,0 +1,192 @@
+#include "request/job_submission.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "process/error_kind.hpp"
+#include "request/peer_questions.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t peer_connections = 4;
+// One attempt at a write. A second attempt follows if the fate of the first is unknown.
+constexpr milliseconds write_timeout{700};
+constexpr milliseconds owner_timeout{500};
+constexpr milliseconds status_age{1000};
+
+time_point get_deadline(milliseconds timeout, time_point latest) {
+    return std::min(std::chrono::steady_clock::now() + timeout, latest);
+}
+
+}  // namespace
+
+job_submission::job_submission(asio::io_context& context, cell_store store, std::shared_ptr<cell_member> member,
+                               metrics& counters)
+    : store_(std::move(store)),
+      member_(std::move(member)),
+      metrics_(counters),
+      peers_(context, peer_connections) {}
+
+awaitable<absl::Status> job_submission::submit(queue_rules rules, job_id id, job_spec spec, time_point deadline) {
+    accepted_job job;
+    job.rules = std::move(rules);
+    job.spec = std::move(spec);
+    job.accepted_unix_ms = get_unix_ms();
+    store_transaction transaction;
+    transaction.conditions = {{make_job_key(id), 0}, {make_progress_key(id), 0}};
+    transaction.writes = {{make_job_key(id), encode_record(job), 0}};
+    bool is_unknown = false;
+    absl::Status last;
+    constexpr int attempts = 2;
+    for (int attempt = 0; attempt < attempts && std::chrono::steady_clock::now() < deadline; ++attempt) {
+        const auto result = co_await store_.transact(transaction, get_deadline(write_timeout, deadline));
+        member_->record_store_call(result.ok());
+        if (result.ok()) {
+            // A job that exists already was accepted before: repeats get the same answer.
+            LOG(INFO) << "event=job_accepted job=" << id.get() << " queue=" << job.rules.queue
+                      << " repeat=" << !result->is_applied << " revision=" << result->revision;
+            metrics_.count(decision::job_accepted);
+            co_return absl::OkStatus();
+        }
+        last = result.status();
+        is_unknown = is_unknown || get_error_kind(last) == error_kind::store_outcome_unknown;
+        if (!is_unknown) {
+            break;
+        }
+    }
+    LOG(INFO) << "event=job_not_accepted job=" << id.get() << " queue=" << job.rules.queue
+              << " unknown=" << is_unknown << " error=\"" << last.message() << "\"";
+    // A write of unknown fate may still be carried out, so nobody may be told that the job will not run.
+    co_return is_unknown ? make_error(error_kind::store_outcome_unknown, std::string(last.message())) : last;
+}
+
+awaitable<absl::Status> job_submission::cancel(job_id id, time_point deadline) {
+    store_transaction transaction;
+    // The marker is written even if no job is known, since its creation may be on its way.
+    transaction.writes = {{make_cancel_key(id), std::string("1"), 0}};
+    absl::Status last = make_error(error_kind::store_unavailable, "the deadline passed before the store was asked");
+    while (std::chrono::steady_clock::now() < deadline) {
+        const auto result = co_await store_.transact(transaction, get_deadline(write_timeout, deadline));
+        member_->record_store_call(result.ok());
+        if (result.ok()) {
+            LOG(INFO) << "event=cancel_accepted job=" << id.get() << " revision=" << result->revision;
+            metrics_.count(decision::job_cancelled);
+            co_return absl::OkStatus();
+        }
+        last = result.status();
+        if (get_error_kind(last) != error_kind::store_outcome_unknown) {
+            break;
+        }
+    }
+    LOG(INFO) << "event=cancel_failed job=" << id.get() << " error=\"" << last.message() << "\"";
+    co_return last;
+}
+
+awaitable<absl::StatusOr<job_phase>> job_submission::get_state(std::string queue, job_id id, time_point deadline) {
+    auto state = co_await ask_owner(queue, id, get_deadline(owner_timeout, deadline));
+    if (state.ok()) {
+        co_return state;
+    }
+    // The owner may not have heard of a new job yet, and an owner may be missing.
+    co_return co_await read_state(queue, id, deadline);
+}
+
+awaitable<absl::StatusOr<job_phase>> job_submission::ask_owner(std::string queue, job_id id, time_point deadline) {
+    const auto owner = member_->get_owner();
+    if (owner != nullptr && owner->is_loaded()) {
+        const auto state = owner->get_state(id, queue);
+        if (state) {
+            co_return *state;
+        }
+        co_return make_error(error_kind::not_found, "the owner knows no such job");
+    }
+    const auto row = member_->get_owner_row();
+    if (!row) {
+        co_return make_error(error_kind::peer_unreachable, "the cell has no owner");
+    }
+    const auto question = make_state_question(queue, id);
+    const auto response = co_await peers_.fetch(row->address, question, deadline);
+    if (!response.ok()) {
+        co_return make_error(error_kind::peer_unreachable, std::string(response.status().message()));
+    }
+    co_return read_state_answer(*response);
+}
+
+awaitable<absl::StatusOr<job_phase>> job_submission::read_state(std::string queue, job_id id, time_point deadline) {
+    // The job record goes in the same transaction that writes the final progress, so it is read first: if it
+    // is absent, the progress read after it tells how the job ended.
+    const std::string job_key = make_job_key(id);
+    const auto job = co_await store_.get(job_key, get_deadline(write_timeout, deadline));
+    member_->record_store_call(job.ok());
+    if (!job.ok()) {
+        co_return job.status();
+    }
+    if (job->revision > 0) {
+        const auto decoded = decode_accepted_job(job->value);
+        if (!decoded.ok() || decoded->rules.queue != queue) {
+            co_return make_error(error_kind::not_found, "queue " + queue + " has no job " + id.get());
+        }
+        co_return job_phase::queued;
+    }
+    const std::string progress_key = make_progress_key(id);
+    const auto progress = co_await store_.get(progress_key, get_deadline(write_timeout, deadline));
+    member_->record_store_call(progress.ok());
+    if (!progress.ok()) {
+        co_return progress.status();
+    }
+    const auto decoded = decode_job_progress(progress->value);
+    if (progress->revision == 0 || !decoded.ok() || decoded->queue != queue) {
+        co_return make_error(error_kind::not_found, "queue " + queue + " has no job " + id.get());
+    }
+    co_return decoded->state;
+}
+
+awaitable<absl::StatusOr<std::vector<queue_status>>> job_submission::get_statuses(time_point deadline) {
+    const auto owner = member_->get_owner();
+    if (owner != nullptr && owner->is_loaded()) {
+        co_return owner->get_queue_statuses();
+    }
+    {
+        std::lock_guard lock(mutex_);
+        if (std::chrono::steady_clock::now() < statuses_read_at_ + status_age) {
+            co_return statuses_;
+        }
+    }
+    const auto row = member_->get_owner_row();
+    if (!row) {
+        co_return make_error(error_kind::peer_unreachable, "the cell has no owner");
+    }
+    const auto question = make_status_question();
+    const auto asked_at = std::chrono::steady_clock::now();
+    const auto response = co_await peers_.fetch(row->address, question, get_deadline(owner_timeout, deadline));
+    if (!response.ok()) {
+        co_return make_error(error_kind::peer_unreachable, std::string(response.status().message()));
+    }
+    auto statuses = read_status_answer(*response);
+    if (statuses.ok()) {
+        std::lock_guard lock(mutex_);
+        statuses_ = *statuses;
+        statuses_read_at_ = asked_at;
+    }
+    co_return statuses;
+}
+
+awaitable<absl::StatusOr<std::uint64_t>> job_submission::count_pending(std::string queue, time_point deadline) {
+    const auto statuses = co_await get_statuses(deadline);
+    if (!statuses.ok()) {
+        co_return statuses.status();
+    }
+    const auto found = std::find_if(statuses->begin(), statuses->end(),
+                                    [&](const queue_status& status) { return status.queue == queue; });
+    co_return found == statuses->end() ? 0 : found->pending;
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/request/peer_questions.cpp
@@ -0,0 +1,136 @@
+#include "request/peer_questions.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "connection/json_reader.hpp"
+#include "process/error_kind.hpp"
+#include "request/cell_member.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view job_path = "/v1/cell/jobs";
+constexpr std::string_view status_path = "/v1/cell/queues";
+constexpr std::string_view dump_path = "/v1/cell/state";
+constexpr int ok_status = 200;
+constexpr int not_found_status = 404;
+constexpr int not_owner_status = 421;
+constexpr std::size_t max_text_bytes = 4096;
+
+std::optional<job_phase> parse_state(std::string_view name) {
+    for (const auto state : {job_phase::queued, job_phase::running, job_phase::done, job_phase::failed,
+                             job_phase::cancelled}) {
+        if (name == get_name(state)) {
+            return state;
+        }
+    }
+    return std::nullopt;
+}
+
+http_response make_answer(int status, const json& body) {
+    http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = body.dump();
+    return response;
+}
+
+json write_queue(const queue_status& status) {
+    return {{"queue", status.queue},
+            {"pending", status.pending},
+            {"expected_wait_ms", status.expected_wait_ms},
+            {"open", status.is_open}};
+}
+
+}  // namespace
+
+http_request make_state_question(const std::string& queue, const job_id& id) {
+    http_request request;
+    request.target = std::string(job_path) + "?queue=" + queue + "&job=" + id.get();
+    return request;
+}
+
+http_request make_status_question() {
+    http_request request;
+    request.target = std::string(status_path);
+    return request;
+}
+
+absl::StatusOr<job_phase> read_state_answer(const http_response& response) {
+    if (response.status == not_found_status) {
+        return make_error(error_kind::not_found, "the owner knows no such job");
+    }
+    if (response.status != ok_status) {
+        return make_error(error_kind::peer_unreachable,
+                          "the owner answered " + std::to_string(response.status));
+    }
+    const auto body = parse_json_object(response.body, "the owner's answer");
+    if (!body.ok()) {
+        return body.status();
+    }
+    json_reader reader(*body, "the owner's answer");
+    const auto state = parse_state(reader.read_text("state", max_text_bytes));
+    if (!state) {
+        return make_error(error_kind::bad_request, "the owner's answer names no known state");
+    }
+    return *state;
+}
+
+absl::StatusOr<std::vector<queue_status>> read_status_answer(const http_response& response) {
+    if (response.status != ok_status) {
+        return make_error(error_kind::peer_unreachable,
+                          "the owner answered " + std::to_string(response.status));
+    }
+    const auto body = parse_json_object(response.body, "the owner's queues");
+    if (!body.ok()) {
+        return body.status();
+    }
+    json_reader reader(*body, "the owner's queues");
+    std::vector<queue_status> statuses;
+    for (const auto& object : reader.read_array("queues")) {
+        json_reader row(object, "a queue of the owner");
+        queue_status status;
+        status.queue = row.read_text("queue", max_text_bytes);
+        status.pending = static_cast<std::uint64_t>(row.read_integer("pending", 0, INT64_MAX));
+        status.expected_wait_ms = row.read_integer("expected_wait_ms", 0, INT64_MAX);
+        status.is_open = row.read_flag("open");
+        if (!row.get_status().ok()) {
+            return row.get_status();
+        }
+        statuses.push_back(std::move(status));
+    }
+    return statuses;
+}
+
+http_response answer_question(const http_request& request, const cell_member& member) {
+    const auto owner = member.get_owner();
+    if (owner == nullptr || !owner->is_loaded()) {
+        return make_answer(not_owner_status, {{"message", "this process does not own the cell"}});
+    }
+    if (request.get_path() == job_path) {
+        const auto state = owner->get_state(job_id(request.get_query("job")), request.get_query("queue"));
+        if (!state) {
+            return make_answer(not_found_status, {{"message", "no such job"}});
+        }
+        return make_answer(ok_status, {{"state", get_name(*state)}});
+    }
+    if (request.get_path() == status_path) {
+        json queues = json::array();
+        for (const auto& status : owner->get_queue_statuses()) {
+            queues.push_back(write_queue(status));
+        }
+        return make_answer(ok_status, {{"queues", std::move(queues)}});
+    }
+    if (request.get_path() == dump_path) {
+        http_response response;
+        response.headers["Content-Type"] = "text/plain";
+        response.body = owner->dump_state();
+        return response;
+    }
+    return make_answer(not_found_status, {{"message", "no such question"}});
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/version/entry_settings.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "process/cell_limits.hpp"
+#include "process/ids.hpp"
+
+namespace jacinthvane {
+
+// What an entry process of a cell is told at its start. Values of one version of its settings.
+struct entry_settings {
+    vm_id vm;
+    location place;
+    // "IP:PORT" of each listener.
+    std::string caller_address;
+    std::string readiness_address;
+    std::string peer_address;
+    std::string metrics_address;
+    std::string store_address;
+    std::string advice_address;
+    std::string vm_list_address;
+    // Thousandths of a processor that the process may use.
+    std::int64_t processors_milli = 1000;
+    std::int64_t min_owner_lease_ms = 1000;
+    // How long a stop may take in all.
+    std::int64_t grace_ms = 6000;
+    cell_limits limits;
+
+    bool operator==(const entry_settings&) const = default;
+};
+
+}  // namespace jacinthvane
