Learn which images disturb each other and pack serving tasks by image

Cause: fillers were paced by one pace for each upstream, so harmless ones starved beside one that disturbs. The tail model learns each pair; placement and pacing use it, and serving tasks of one image stand together, so an upstream is sensitive to fewer fillers. Entries of upstreams are read with one call each 300 ms.

--- /dev/null
+++ b/src/process/cell_pacing.cpp
@@ -0,0 +1,191 @@
+// How fast fillers run beside tasks that serve; see cell_scheduler.hpp.
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "process/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+// The figures of an upstream cover the last half second, so they tell of a change only after that.
+constexpr std::chrono::milliseconds figure_span{550};
+// A rise of the tail below this is no reason to slow a filler down.
+constexpr double negligible_rise = 0.05;
+constexpr double trim_step_down = 0.6;
+constexpr double trim_step_up = 0.08;
+constexpr double lowest_trim = 0.05;
+constexpr std::int64_t relaxed_permille = 800;
+constexpr std::int64_t crossed_permille = 1000;
+constexpr std::int32_t full_pace = 100;
+// Small changes of pace are not worth an order.
+constexpr std::int32_t pace_step = 10;
+// Below this pace a filler does better elsewhere.
+constexpr std::int32_t slow_pace = 25;
+constexpr std::chrono::milliseconds move_delay{1000};
+// Parts of the time for which a target may be crossed: then the suspected fillers stop, then all.
+constexpr std::int64_t suspected_share_permille = 300;
+constexpr std::int64_t all_share_permille = 450;
+
+double get_share(std::int64_t processors_milli, const upstream_ledger& upstream) {
+    const auto capacity = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
+    return static_cast<double>(processors_milli) / static_cast<double>(capacity);
+}
+
+bool has_steady_pace(const run_record& run, time_point now) { return now - run.pace_changed_at >= figure_span; }
+
+}  // namespace
+
+std::vector<filler_use> cell_scheduler::get_filler_uses(const upstream_ledger& upstream, bool at_full_pace) const {
+    std::vector<filler_use> uses;
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.filler_milli > 0) {
+            const auto pace = at_full_pace ? full_pace : run.pace;
+            uses.push_back({run.image, get_share(run.filler_milli, upstream) * pace / full_pace});
+        }
+    }
+    return uses;
+}
+
+void cell_scheduler::learn_tails(upstream_ledger& upstream, const upstream_report& report, time_point now) {
+    std::vector<filler_use> measured;
+    bool is_stable = true;
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.filler_milli == 0) {
+            continue;
+        }
+        is_stable = is_stable && run.phase == run_phase::running && has_steady_pace(run, now);
+        measured.push_back({run.image, get_share(run.load, upstream)});
+    }
+    // A filler that has just ended is in the figure, too.
+    if (!is_stable || now - upstream.filler_ended_at < figure_span || now - upstream.learnt_at < figure_span) {
+        return;
+    }
+    upstream.learnt_at = now;
+    for (const auto& row : report.running) {
+        const auto* run = upstream.find_run(row.task, row.run);
+        const bool serves = run != nullptr && run->target_tail_ms > 0 && row.percent >= 100 && row.load > 0;
+        if (serves && now - run->started_at > figure_span * 2) {
+            tails_.learn(run->image, row.load, measured);
+        }
+    }
+}
+
+double cell_scheduler::get_filler_scale(const upstream_ledger& upstream, image_index filler, double share) const {
+    double scale = 1.0;
+    const auto uses = get_filler_uses(upstream, true);
+    std::vector<image_index> seen;
+    for (const auto& [key, run] : upstream.runs) {
+        const bool is_seen = std::find(seen.begin(), seen.end(), run.image) != seen.end();
+        if (run.target_tail_ms == 0 || is_seen) {
+            continue;
+        }
+        seen.push_back(run.image);
+        const double own = tails_.get_weight(run.image, filler) * share;
+        if (own < negligible_rise) {
+            continue;
+        }
+        const double rise = tails_.get_rise(run.image, uses) + own;
+        const double allowed = tails_.get_allowed_rise(run.image, run.target_tail_ms);
+        scale = std::min(scale, allowed / std::max(rise, allowed));
+    }
+    return scale;
+}
+
+void cell_scheduler::update_trim(upstream_ledger& upstream, const upstream_report& report, time_point now) {
+    std::int64_t ratio = 0;
+    for (const auto& row : report.running) {
+        const auto* run = upstream.find_run(row.task, row.run);
+        if (run != nullptr && run->target_tail_ms > 0) {
+            ratio = std::max(ratio, row.load * 1000 / run->target_tail_ms);
+        }
+    }
+    upstream.pressure_permille = ratio;
+    if (ratio < crossed_permille) {
+        upstream.crossed_since = time_point::max();
+        if (ratio < relaxed_permille && now - upstream.trimmed_at >= figure_span) {
+            upstream.trim = std::min(upstream.trim + trim_step_up, 1.0);
+            upstream.trimmed_at = now;
+        }
+        return;
+    }
+    upstream.crossed_since = std::min(upstream.crossed_since, now);
+    if (now - upstream.trimmed_at >= figure_span) {
+        upstream.trim = std::max(upstream.trim * trim_step_down, lowest_trim);
+        upstream.trimmed_at = now;
+    }
+}
+
+std::int32_t cell_scheduler::choose_pace(const upstream_ledger& upstream, const run_record& filler,
+                                         time_point now) const {
+    const bool is_crossed = upstream.crossed_since != time_point::max();
+    const auto crossed_for = is_crossed ? now - upstream.crossed_since : time_point::duration(0);
+    if (crossed_for * 1000 >= limits_.interference_limit * all_share_permille) {
+        return 0;
+    }
+    const double share = get_share(filler.filler_milli, upstream);
+    double scale = 1.0;
+    bool is_suspected = false;
+    const auto uses = get_filler_uses(upstream, true);
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.target_tail_ms == 0 || tails_.get_weight(run.image, filler.image) * share < negligible_rise) {
+            continue;
+        }
+        is_suspected = true;
+        const double rise = tails_.get_rise(run.image, uses);
+        const double allowed = tails_.get_allowed_rise(run.image, run.target_tail_ms);
+        scale = std::min(scale, allowed / std::max(rise, allowed));
+    }
+    if (!is_suspected) {
+        return full_pace;
+    }
+    if (crossed_for * 1000 >= limits_.interference_limit * suspected_share_permille) {
+        return 0;
+    }
+    return static_cast<std::int32_t>(std::lround(scale * upstream.trim * full_pace));
+}
+
+void cell_scheduler::update_pacing(upstream_ledger& upstream, const upstream_report& report, time_point now) {
+    learn_tails(upstream, report, now);
+    update_trim(upstream, report, now);
+    for (auto& [key, run] : upstream.runs) {
+        if (run.filler_milli == 0 || run.phase != run_phase::running) {
+            continue;
+        }
+        const auto wanted = choose_pace(upstream, run, now);
+        const bool is_change = std::abs(wanted - run.pace) >= pace_step ||
+                               (wanted != run.pace && (wanted == 0 || wanted == full_pace));
+        if (is_change && (wanted < run.pace || has_steady_pace(run, now))) {
+            order_pace(upstream, key, run, wanted, now);
+        }
+    }
+}
+
+void cell_scheduler::order_pace(const upstream_ledger& upstream, const run_key& key, run_record& run,
+                                std::int32_t pace, time_point now) {
+    if (pace >= slow_pace) {
+        run.slow_since = time_point::max();
+    } else {
+        run.slow_since = std::min(run.slow_since, now);
+    }
+    run.pace = pace;
+    run.pace_changed_at = now;
+    queued_orders_.emplace_back(pace_order{upstream.entry.id, key.first, key.second, pace});
+}
+
+void cell_scheduler::move_slow_fillers(upstream_ledger& upstream, time_point now) {
+    for (auto& [key, run] : upstream.runs) {
+        const bool is_slow = run.filler_milli > 0 && run.phase == run_phase::running &&
+                             run.slow_since != time_point::max() && now - run.slow_since >= move_delay;
+        auto* job = is_slow ? find_job(key.first.job) : nullptr;
+        auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+        if (task != nullptr) {
+            task->avoided.push_back(upstream.entry.id);
+            begin_stop(run, now);
+        }
+    }
+}
+
+}  // namespace jacinthvane
--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -11,8 +11,11 @@
 constexpr std::chrono::milliseconds maintenance_interval{40};
 // A run whose progress stands still this long is moved to another upstream.
 constexpr std::chrono::milliseconds stall_limit{3000};
+// Slower runs are not expected to show progress.
 constexpr std::int32_t slow_pace = 50;
-constexpr std::int64_t high_pressure_permille = 750;
+// A filler starts only where it may run at least at this share of its speed.
+constexpr double least_filler_scale = 0.45;
+constexpr double least_trim = 0.5;
 // A leaving upstream has to be left this long before its time ends, so that a checkpoint is saved and listed.
 constexpr std::chrono::milliseconds leave_margin{900};
 // Run numbers of one owner; the next owner's numbers begin above them.
@@ -28,7 +31,9 @@
 constexpr double avoided_cost = 2.0;
 constexpr double failure_cost = 0.3;
 constexpr double filler_share_cost = 0.3;
-constexpr double pressure_cost = 1.5;
+constexpr double slow_filler_cost = 2.0;
+// Serving tasks of one image stand together, so that each upstream is disturbed by fewer kinds of fillers.
+constexpr double other_image_cost = 0.5;
 
 bool is_avoided(const task_record& task, const upstream_id& upstream) {
     return std::find(task.avoided.begin(), task.avoided.end(), upstream) != task.avoided.end();
@@ -45,12 +50,6 @@
                        [](const auto& entry) { return !entry.second.is_lasting; });
 }
 
-bool has_slow_fillers(const upstream_ledger& upstream) {
-    return std::any_of(upstream.runs.begin(), upstream.runs.end(), [](const auto& entry) {
-        return entry.second.filler_milli > 0 && entry.second.pace < slow_pace;
-    });
-}
-
 resource_vector get_committed_size(const step_spec& spec) {
     if (!spec.is_filler) {
         return spec.size;
@@ -72,6 +71,7 @@
         for (auto& [id, upstream] : upstreams_) {
             stop_stalled_runs(upstream, now);
             move_from_leaving(upstream, now);
+            move_slow_fillers(upstream, now);
         }
         const auto scheduled = scheduled_jobs_;
         for (const auto& id : scheduled) {
@@ -338,7 +338,7 @@
 }
 
 bool cell_scheduler::is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& ref,
-                                 const task_record& task, const std::string& service, time_point now) const {
+                                 const task_record& task, const std::string& service, time_point now) {
     const auto& spec = job.job->spec.steps[ref.step];
     const auto& entry = upstream.entry;
     const bool is_usable = upstream.is_listed && upstream.has_answered && !upstream.is_silent &&
@@ -364,11 +364,16 @@
     const auto processors = entry.capacity.get_processors_milli();
     const auto used = upstream.estimate_used_milli() + upstream.filler_milli;
     const bool has_leftover = used + spec.size.get_processors_milli() <= processors;
-    return has_leftover && upstream.pressure_permille < high_pressure_permille && !has_slow_fillers(upstream);
+    if (!has_leftover || upstream.trim < least_trim || upstream.crossed_since != time_point::max()) {
+        return false;
+    }
+    const double share =
+        static_cast<double>(spec.size.get_processors_milli()) / static_cast<double>(std::max<std::int64_t>(processors, 1));
+    return get_filler_scale(upstream, tails_.get_index(spec.image), share) >= least_filler_scale;
 }
 
 double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec,
-                                const task_record& task) const {
+                                const task_record& task) {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
     const auto scale = static_cast<double>(processors);
     double cost = failure_cost * upstream.health.get_failures();
@@ -378,13 +383,38 @@
     if (is_avoided(task, upstream.entry.id)) {
         cost += avoided_cost;
     }
-    const auto fillers = static_cast<double>(upstream.filler_milli);
     if (spec.is_filler) {
-        cost += (static_cast<double>(upstream.estimate_used_milli()) + fillers) / scale;
-        return cost + pressure_cost * static_cast<double>(upstream.pressure_permille) / 1000;
+        return cost + get_filler_cost(upstream, spec);
+    }
+    if (spec.target_tail_ms > 0) {
+        return cost + get_serving_cost(upstream, spec);
     }
     cost += static_cast<double>(upstream.committed.get_processors_milli()) / scale;
-    return cost + filler_share_cost * fillers / scale;
+    return cost + filler_share_cost * static_cast<double>(upstream.filler_milli) / scale;
+}
+
+double cell_scheduler::get_filler_cost(const upstream_ledger& upstream, const step_spec& spec) {
+    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
+    const auto scale = static_cast<double>(processors);
+    const auto share = static_cast<double>(spec.size.get_processors_milli()) / scale;
+    const auto used = static_cast<double>(upstream.estimate_used_milli() + upstream.filler_milli) / scale;
+    const auto pace = get_filler_scale(upstream, tails_.get_index(spec.image), share);
+    return used + slow_filler_cost * (1.0 - pace);
+}
+
+double cell_scheduler::get_serving_cost(const upstream_ledger& upstream, const step_spec& spec) {
+    const auto image = tails_.get_index(spec.image);
+    int others = 0;
+    int all = 0;
+    for (const auto& [key, run] : upstream.runs) {
+        all += run.target_tail_ms > 0 ? 1 : 0;
+        others += run.target_tail_ms > 0 && run.image != image ? 1 : 0;
+    }
+    // Fills upstreams one by one, which leaves others free of serving tasks.
+    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
+    const auto room = static_cast<double>(upstream.get_room().get_processors_milli());
+    const double mixing = all == 0 ? 0.0 : other_image_cost * others / all;
+    return room / static_cast<double>(processors) + mixing;
 }
 
 void cell_scheduler::start_task(job_record& job, const task_ref& ref, const placement& place,
@@ -401,6 +431,8 @@
     record.filler_milli = spec.is_filler ? spec.size.get_processors_milli() : 0;
     record.is_lasting = spec.is_lasting;
     record.target_tail_ms = spec.target_tail_ms;
+    record.image = tails_.get_index(spec.image);
+    record.pace_changed_at = now;
     record.is_order_sent = true;
     record.started_at = now;
     place.upstream->add_run(ref, run, record);
--- a/src/process/cell_reports.cpp
+++ b/src/process/cell_reports.cpp
@@ -2,7 +2,6 @@
 #include <chrono>
 
 #include "process/cell_scheduler.hpp"
-#include "process/filler_pacing.hpp"
 
 namespace jacinthvane {
 
@@ -174,7 +173,11 @@
 }
 
 void cell_scheduler::apply_end(upstream_ledger& upstream, const ended_row& row, time_point now) {
-    const bool was_known = upstream.find_run(row.task, row.run) != nullptr;
+    const auto* known = upstream.find_run(row.task, row.run);
+    const bool was_known = known != nullptr;
+    if (was_known && known->filler_milli > 0) {
+        upstream.filler_ended_at = now;
+    }
     upstream.remove_run(row.task, row.run);
     auto* job = find_job(row.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(row.task);
@@ -351,6 +354,7 @@
     run.filler_milli = spec.is_filler ? size.get_processors_milli() : 0;
     run.is_lasting = spec.is_lasting;
     run.target_tail_ms = spec.target_tail_ms;
+    run.image = tails_.get_index(spec.image);
     const bool is_wanted = task->phase == task_phase::waiting && row.run > task->last_run &&
                            !is_final(job->pending_end);
     if (is_wanted) {
@@ -401,38 +405,6 @@
     }
 }
 
-void cell_scheduler::update_pacing(upstream_ledger& upstream, const upstream_report& report, time_point now) {
-    std::int64_t ratio = 0;
-    bool has_fillers = false;
-    std::int32_t pace = 100;
-    for (const auto& row : report.running) {
-        const auto* run = upstream.find_run(row.task, row.run);
-        if (run == nullptr) {
-            continue;
-        }
-        if (run->target_tail_ms > 0) {
-            ratio = std::max(ratio, row.load * 1000 / run->target_tail_ms);
-        }
-        if (run->filler_milli > 0 && run->phase == run_phase::running) {
-            has_fillers = true;
-            pace = std::min(pace, run->pace);
-        }
-    }
-    upstream.pressure_permille = (upstream.pressure_permille + ratio) / 2;
-    if (!has_fillers || now < upstream.paced_at) {
-        return;
-    }
-    const auto next_pace = choose_filler_pace(pace, ratio);
-    for (auto& [key, run] : upstream.runs) {
-        if (run.filler_milli == 0 || run.phase != run_phase::running || run.pace == next_pace) {
-            continue;
-        }
-        run.pace = next_pace;
-        upstream.paced_at = now + pace_settling_time;
-        queued_orders_.emplace_back(pace_order{upstream.entry.id, key.first, key.second, next_pace});
-    }
-}
-
 void cell_scheduler::mark_silent(const upstream_id& id, time_point now) {
     const auto found = upstreams_.find(id);
     if (found != upstreams_.end() && !found->second.is_silent) {
@@ -493,6 +465,12 @@
             run->seen_clock_ms = std::max(run->seen_clock_ms, answer.clock_ms);
             run->phase = run_phase::running;
             run->percent_changed_at = now;
+            if (run->filler_milli > 0) {
+                const auto wanted = choose_pace(upstream, *run, now);
+                if (wanted < run->pace) {
+                    order_pace(upstream, {order.task, order.run}, *run, wanted, now);
+                }
+            }
             return;
         case order_result::unknown:
             run->has_unknown_start = true;
--- a/src/process/cell_scheduler.hpp
+++ b/src/process/cell_scheduler.hpp
@@ -16,6 +16,7 @@
 #include "process/job_progress.hpp"
 #include "process/job_record.hpp"
 #include "process/job_spec.hpp"
+#include "process/tail_model.hpp"
 #include "process/upstream_entry.hpp"
 #include "process/upstream_order.hpp"
 #include "process/upstream_ledger.hpp"
@@ -187,7 +188,6 @@
                        time_point now);
     void adopt_run(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms, time_point now);
     void release_absent_runs(upstream_ledger& upstream, const upstream_report& report, time_point now);
-    void update_pacing(upstream_ledger& upstream, const upstream_report& report, time_point now);
     void apply_start_answer(const start_order& order, const order_answer& answer, time_point now);
     void apply_stop_answer(const stop_order& order, const order_answer& answer, time_point now);
     void begin_stop(run_record& run, time_point now);
@@ -199,6 +199,18 @@
                    time_point now);
     job_record* find_job(const job_id& id);
 
+    // Fillers beside tasks that serve (cell_pacing.cpp)
+    void update_pacing(upstream_ledger& upstream, const upstream_report& report, time_point now);
+    void learn_tails(upstream_ledger& upstream, const upstream_report& report, time_point now);
+    void update_trim(upstream_ledger& upstream, const upstream_report& report, time_point now);
+    std::int32_t choose_pace(const upstream_ledger& upstream, const run_record& filler, time_point now) const;
+    void order_pace(const upstream_ledger& upstream, const run_key& key, run_record& run, std::int32_t pace,
+                    time_point now);
+    void move_slow_fillers(upstream_ledger& upstream, time_point now);
+    std::vector<filler_use> get_filler_uses(const upstream_ledger& upstream, bool at_full_pace) const;
+    // Pace, from 0 to 1, that a filler with this use could run at beside what is there.
+    double get_filler_scale(const upstream_ledger& upstream, image_index filler, double share) const;
+
     // Decisions (cell_placement.cpp)
     void release_lapsed_runs(time_point now);
     void repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
@@ -212,8 +224,10 @@
     std::optional<placement> choose_upstream(const job_record& job, const step_ref& step,
                                              const task_record& task, time_point now);
     bool is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
-                     const task_record& task, const std::string& service, time_point now) const;
-    double get_cost(const upstream_ledger& upstream, const step_spec& spec, const task_record& task) const;
+                     const task_record& task, const std::string& service, time_point now);
+    double get_cost(const upstream_ledger& upstream, const step_spec& spec, const task_record& task);
+    double get_filler_cost(const upstream_ledger& upstream, const step_spec& spec);
+    double get_serving_cost(const upstream_ledger& upstream, const step_spec& spec);
     void start_task(job_record& job, const task_ref& task, const placement& place, std::uint64_t run,
                     time_point now, cell_decisions& decisions);
     void request_advice(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
@@ -237,6 +251,7 @@
     std::set<job_id> scheduled_jobs_;
     std::set<job_id> dirty_jobs_;
     std::map<step_ref, step_tickets> tickets_;
+    tail_model tails_;
     std::vector<upstream_order> queued_orders_;
     std::vector<unplaced_size> unplaced_;
     time_point next_maintenance_;
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -8,6 +8,7 @@
 #include "process/clock.hpp"
 #include "process/ids.hpp"
 #include "process/resource_vector.hpp"
+#include "process/tail_model.hpp"
 #include "process/task_ref.hpp"
 #include "process/upstream_entry.hpp"
 #include "process/upstream_health.hpp"
@@ -45,9 +46,11 @@
     std::int32_t percent = -1;
     time_point percent_changed_at;
     std::int64_t load = 0;
+    image_index image = 0;
     std::int32_t pace = 100;
-    bool is_pace_sent = false;
-    time_point paced_out_at;
+    time_point pace_changed_at;
+    // Since when the filler runs too slowly to be worth its place; max if it does not.
+    time_point slow_since = time_point::max();
 };
 
 using run_key = std::pair<task_ref, std::uint64_t>;
@@ -76,9 +79,15 @@
     std::map<run_key, run_record> runs;
     resource_vector committed;
     std::int64_t filler_milli = 0;
-    // Highest ratio of tail latency to target among its tasks, in thousandths, smoothed.
+    // Highest ratio of tail latency to target among its tasks, in thousandths.
     std::int64_t pressure_permille = 0;
-    time_point paced_at;
+    // Factor by which fillers run slower than the model allows, since a target was crossed all the same.
+    double trim = 1.0;
+    time_point trimmed_at;
+    // Since when a target is crossed; max if none is.
+    time_point crossed_since = time_point::max();
+    time_point learnt_at;
+    time_point filler_ended_at;
     upstream_health health;
 
     resource_vector get_room() const { return entry.capacity - committed; }
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -323,6 +323,8 @@
 awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
     constexpr std::int64_t wait_ms = 2000;
     constexpr milliseconds margin{700};
+    // Entries change all the time; those that change within this time are read with one call.
+    constexpr milliseconds gathering{300};
     while (!is_over()) {
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
         auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
@@ -348,6 +350,9 @@
             co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
         }
         wake_.notify_all();
+        if (!changes->changes.empty()) {
+            co_await wait_until(std::chrono::steady_clock::now() + gathering);
+        }
     }
 }
 
