Follow the load of each serving task and learn from every figure

Cause: the samples show that a serving task's tail swings slowly by its own load (13 to 33 ms in 7 s, alike for the tasks of one job) and jumps when a disturbing filler starts. One base for each image took the swing for a disturbance, and figures counted only when no filler had started or ended for half a second, which hardly ever was the case beside several short tasks. Each serving task has its own base now, and the processors that each filler used in the last half second are taken as reported.

--- a/src/process/cell_pacing.cpp
+++ b/src/process/cell_pacing.cpp
@@ -15,9 +15,9 @@
 // A rise of the tail below this is no reason to slow a filler down.
 constexpr double negligible_rise = 0.05;
 constexpr double trim_step_down = 0.6;
-constexpr double trim_step_up = 0.08;
+constexpr double trim_step_up = 0.15;
 constexpr double lowest_trim = 0.05;
-constexpr std::int64_t relaxed_permille = 800;
+constexpr std::int64_t relaxed_permille = 900;
 constexpr std::int64_t crossed_permille = 1000;
 constexpr std::int32_t full_pace = 100;
 // Small changes of pace are not worth an order.
@@ -50,25 +50,29 @@
 }
 
 void cell_scheduler::learn_tails(upstream_ledger& upstream, const upstream_report& report, time_point now) {
+    std::erase_if(upstream.ended_fillers,
+                  [&](const ended_filler& ended) { return now - ended.ended_at >= figure_span; });
+    // Figures that overlap would count the same half second twice.
+    if (now - upstream.learnt_at < figure_span * 4 / 5) {
+        return;
+    }
+    upstream.learnt_at = now;
     std::vector<filler_use> measured;
-    bool is_stable = true;
     for (const auto& [key, run] : upstream.runs) {
-        if (run.filler_milli == 0) {
-            continue;
+        if (run.filler_milli > 0 && run.load > 0) {
+            measured.push_back({run.image, get_share(run.load, upstream)});
         }
-        is_stable = is_stable && run.phase == run_phase::running && has_steady_pace(run, now);
-        measured.push_back({run.image, get_share(run.load, upstream)});
     }
-    // A filler that has just ended is in the figure, too.
-    if (!is_stable || now - upstream.filler_ended_at < figure_span || now - upstream.learnt_at < figure_span) {
-        return;
+    for (const auto& ended : upstream.ended_fillers) {
+        const std::chrono::duration<double> since = now - ended.ended_at;
+        const std::chrono::duration<double> span = figure_span;
+        measured.push_back({ended.use.image, ended.use.share * (1.0 - since / span)});
     }
-    upstream.learnt_at = now;
     for (const auto& row : report.running) {
-        const auto* run = upstream.find_run(row.task, row.run);
+        auto* run = upstream.find_run(row.task, row.run);
         const bool serves = run != nullptr && run->target_tail_ms > 0 && row.percent >= 100 && row.load > 0;
         if (serves && now - run->started_at > figure_span * 2) {
-            tails_.learn(run->image, row.load, measured);
+            run->base = tails_.learn(run->image, run->base, row.load, measured);
         }
     }
 }
@@ -76,19 +80,16 @@
 double cell_scheduler::get_filler_scale(const upstream_ledger& upstream, image_index filler, double share) const {
     double scale = 1.0;
     const auto uses = get_filler_uses(upstream, true);
-    std::vector<image_index> seen;
     for (const auto& [key, run] : upstream.runs) {
-        const bool is_seen = std::find(seen.begin(), seen.end(), run.image) != seen.end();
-        if (run.target_tail_ms == 0 || is_seen) {
+        if (run.target_tail_ms == 0) {
             continue;
         }
-        seen.push_back(run.image);
         const double own = tails_.get_weight(run.image, filler) * share;
         if (own < negligible_rise) {
             continue;
         }
         const double rise = tails_.get_rise(run.image, uses) + own;
-        const double allowed = tails_.get_allowed_rise(run.image, run.target_tail_ms);
+        const double allowed = tail_model::get_allowed_rise(run.base, run.target_tail_ms);
         scale = std::min(scale, allowed / std::max(rise, allowed));
     }
     return scale;
@@ -103,7 +104,10 @@
         }
     }
     upstream.pressure_permille = ratio;
-    if (ratio < crossed_permille) {
+    if (upstream.filler_milli == 0) {
+        upstream.trim = 1.0;
+    }
+    if (ratio < crossed_permille || upstream.filler_milli == 0) {
         upstream.crossed_since = time_point::max();
         if (ratio < relaxed_permille && now - upstream.trimmed_at >= figure_span) {
             upstream.trim = std::min(upstream.trim + trim_step_up, 1.0);
@@ -135,7 +139,7 @@
         }
         is_suspected = true;
         const double rise = tails_.get_rise(run.image, uses);
-        const double allowed = tails_.get_allowed_rise(run.image, run.target_tail_ms);
+        const double allowed = tail_model::get_allowed_rise(run.base, run.target_tail_ms);
         scale = std::min(scale, allowed / std::max(rise, allowed));
     }
     if (!is_suspected) {
--- a/src/process/cell_reports.cpp
+++ b/src/process/cell_reports.cpp
@@ -176,7 +176,9 @@
     const auto* known = upstream.find_run(row.task, row.run);
     const bool was_known = known != nullptr;
     if (was_known && known->filler_milli > 0) {
-        upstream.filler_ended_at = now;
+        const auto capacity = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
+        const auto share = static_cast<double>(known->load) / static_cast<double>(capacity);
+        upstream.ended_fillers.push_back({{known->image, share}, now});
     }
     upstream.remove_run(row.task, row.run);
     auto* job = find_job(row.task.job);
--- a/src/process/tail_model.hpp
+++ b/src/process/tail_model.hpp
@@ -17,8 +17,16 @@
     bool operator==(const filler_use&) const = default;
 };
 
+// What is known of one serving task's tail. Its load swings within seconds, so each task has its own base.
+struct tail_base {
+    double log_tail = 0;
+    bool is_known = false;
+
+    bool operator==(const tail_base&) const = default;
+};
+
 // Learns from late, rough figures how fillers raise the tail latency of tasks that serve beside them. The
-// logarithm of a tail is taken as a base of the serving image plus, for each filler, a weight of the pair of
+// logarithm of a tail is taken as the base of the serving task plus, for each filler, a weight of the pair of
 // images times the processors that the filler uses. Most pairs do not disturb each other at all and some do
 // strongly, so each pair is learnt by itself.
 class tail_model {
@@ -28,24 +36,19 @@
     // Images beyond a limit share one index.
     image_index get_index(const std::string& image);
 
-    // A serving task's tail, measured while these fillers ran beside it.
-    void learn(image_index serving, std::int64_t tail_ms, const std::vector<filler_use>& fillers);
+    // A serving task's tail, measured while these fillers ran beside it. Returns the task's new base.
+    tail_base learn(image_index serving, tail_base base, std::int64_t tail_ms,
+                    const std::vector<filler_use>& fillers);
 
     // Rise of the logarithm of the tail if the filler uses all processors of the upstream.
     double get_weight(image_index serving, image_index filler) const;
     // Rise that the fillers cause by the model.
     double get_rise(image_index serving, const std::vector<filler_use>& fillers) const;
     // Rise that leaves the tail under its target with a margin.
-    double get_allowed_rise(image_index serving, std::int64_t target_ms) const;
+    static double get_allowed_rise(const tail_base& base, std::int64_t target_ms);
 
 private:
-    struct base {
-        double log_tail = 0;
-        std::uint32_t samples = 0;
-    };
-
     std::unordered_map<std::string, image_index> indexes_;
-    std::vector<base> bases_;
     // Row by row, one row a serving image.
     std::vector<double> weights_;
 };
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "process/clock.hpp"
 #include "process/ids.hpp"
@@ -47,12 +48,20 @@
     time_point percent_changed_at;
     std::int64_t load = 0;
     image_index image = 0;
+    // Of a task with a target.
+    tail_base base;
     std::int32_t pace = 100;
     time_point pace_changed_at;
     // Since when the filler runs too slowly to be worth its place; max if it does not.
     time_point slow_since = time_point::max();
 };
 
+// A filler that has ended, and what it used until then.
+struct ended_filler {
+    filler_use use;
+    time_point ended_at;
+};
+
 using run_key = std::pair<task_ref, std::uint64_t>;
 
 // What the owner knows of an upstream.
@@ -87,7 +96,8 @@
     // Since when a target is crossed; max if none is.
     time_point crossed_since = time_point::max();
     time_point learnt_at;
-    time_point filler_ended_at;
+    // Fillers that ended a moment ago and are in the next figures yet.
+    std::vector<ended_filler> ended_fillers;
     upstream_health health;
 
     resource_vector get_room() const { return entry.capacity - committed; }
