--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -52,6 +52,11 @@
                        [](const auto& entry) { return !entry.second.is_lasting; });
 }
 
+bool has_runs_of_unknown_size(const upstream_ledger& upstream) {
+    return std::any_of(upstream.runs.begin(), upstream.runs.end(),
+                       [](const auto& entry) { return entry.second.is_size_unknown; });
+}
+
 resource_vector get_committed_size(const step_spec& spec) {
     if (!spec.is_filler) {
         return spec.size;
@@ -352,7 +357,7 @@
     if (!is_usable || entry.service != service || !entry.has_label(spec.required_label)) {
         return false;
     }
-    if (!get_committed_size(spec).is_within(upstream.get_room())) {
+    if (!get_committed_size(spec).is_within(upstream.get_room()) || has_runs_of_unknown_size(upstream)) {
         return false;
     }
     if (upstream.health.is_on_trial() && has_passing_runs(upstream)) {
--- a/src/process/cell_reports.cpp
+++ b/src/process/cell_reports.cpp
@@ -352,8 +352,7 @@
     auto* job = find_job(row.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(row.task);
     if (task == nullptr) {
-        // Its size is not known, so nothing else is started there until it is gone.
-        run.committed = upstream.get_room();
+        run.is_size_unknown = true;
         begin_stop(run, now);
         upstream.add_run(row.task, row.run, run);
         return;
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -30,6 +30,8 @@
     resource_vector committed;
     // Processors of a filler, which are not committed.
     std::int64_t filler_milli = 0;
+    // The run belongs to a job that is not known any more, so nothing may start beside it.
+    bool is_size_unknown = false;
     bool is_lasting = false;
     // A tail latency that the task has to stay below; 0 means none.
     std::int64_t target_tail_ms = 0;
--- a/tests/cell_takeover_test.cpp
+++ b/tests/cell_takeover_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <chrono>
 #include <string>
 
@@ -140,4 +141,36 @@
     BOOST_TEST(cell.upstreams.get_start_count() == 2U);
 }
 
+// Runs of a job that has ended are stopped, and their size is not known. Nothing may start beside them until the
+// last of them is gone. A day showed their room given away when the first one ended.
+BOOST_AUTO_TEST_CASE(starts_nothing_beside_runs_of_unknown_size) {
+    cell_fixture cell(1, {4000, 64000, 0, 0});
+    const auto& entry = cell.entries[0];
+    cell.take_over();
+    upstream_report report;
+    report.clock_ms = 5000;
+    report.born_unix_ms = entry.born_unix_ms;
+    report.running = {{{job_id("gone"), 0, 0, 0}, 1, "", 10, 0}, {{job_id("gone"), 0, 0, 1}, 1, "", 10, 0}};
+    cell.scheduler->apply_report(entry.id, report, cell.read_clock());
+    cell.add_job("new", cell_fixture::make_job({cell_fixture::make_step(1)}));
+    const auto count_starts = [&] {
+        cell.clock->advance(milliseconds(50));
+        const auto decisions = cell.scheduler->decide(cell.read_clock(), true);
+        return std::count_if(decisions.orders.begin(), decisions.orders.end(), [](const upstream_order& order) {
+            return std::holds_alternative<start_order>(order);
+        });
+    };
+    BOOST_TEST(count_starts() == 0);
+    report.clock_ms = 5100;
+    report.ended = {{1, {job_id("gone"), 0, 0, 0}, 1, run_end::stopped, ""}};
+    report.running.erase(report.running.begin());
+    cell.scheduler->apply_report(entry.id, report, cell.read_clock());
+    BOOST_TEST(count_starts() == 0);
+    report.clock_ms = 5200;
+    report.ended = {{2, {job_id("gone"), 0, 0, 1}, 1, run_end::stopped, ""}};
+    report.running.clear();
+    cell.scheduler->apply_report(entry.id, report, cell.read_clock());
+    BOOST_TEST(count_starts() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
