Place fillers by what all fillers together gain

A place is now chosen by the gain of all fillers of the upstream, and a crossed target no longer keeps harmless fillers away.

--- a/src/process/cell_pacing.cpp
+++ b/src/process/cell_pacing.cpp
@@ -77,22 +77,34 @@
     }
 }
 
-double cell_scheduler::get_filler_scale(const upstream_ledger& upstream, image_index filler, double share) const {
+double cell_scheduler::get_filler_scale(const upstream_ledger& upstream, const filler_use& filler,
+                                        const std::vector<filler_use>& all) const {
     double scale = 1.0;
-    const auto uses = get_filler_uses(upstream, true);
+    bool is_suspected = false;
     for (const auto& [key, run] : upstream.runs) {
-        if (run.target_tail_ms == 0) {
-            continue;
-        }
-        const double own = tails_.get_weight(run.image, filler) * share;
-        if (own < negligible_rise) {
+        const bool serves = run.target_tail_ms > 0;
+        if (!serves || tails_.get_weight(run.image, filler.image) * filler.share < negligible_rise) {
             continue;
         }
-        const double rise = tails_.get_rise(run.image, uses) + own;
+        is_suspected = true;
         const double allowed = tail_model::get_allowed_rise(run.base, run.target_tail_ms);
-        scale = std::min(scale, allowed / std::max(rise, allowed));
+        scale = std::min(scale, allowed / std::max(tails_.get_rise(run.image, all), allowed));
+    }
+    return is_suspected ? scale * upstream.trim : 1.0;
+}
+
+double cell_scheduler::get_filler_gain(const upstream_ledger& upstream, const filler_use& added) const {
+    auto all = get_filler_uses(upstream, true);
+    double before = 0;
+    for (const auto& filler : all) {
+        before += get_filler_scale(upstream, filler, all) * filler.share;
+    }
+    all.push_back(added);
+    double after = 0;
+    for (const auto& filler : all) {
+        after += get_filler_scale(upstream, filler, all) * filler.share;
     }
-    return scale;
+    return (after - before) / std::max(added.share, 1e-6);
 }
 
 void cell_scheduler::update_trim(upstream_ledger& upstream, const upstream_report& report, time_point now) {
@@ -129,26 +141,22 @@
     if (crossed_for * 1000 >= limits_.interference_limit * all_share_permille) {
         return 0;
     }
-    const double share = get_share(filler.filler_milli, upstream);
-    double scale = 1.0;
-    bool is_suspected = false;
-    const auto uses = get_filler_uses(upstream, true);
-    for (const auto& [key, run] : upstream.runs) {
-        if (run.target_tail_ms == 0 || tails_.get_weight(run.image, filler.image) * share < negligible_rise) {
-            continue;
-        }
-        is_suspected = true;
-        const double rise = tails_.get_rise(run.image, uses);
-        const double allowed = tail_model::get_allowed_rise(run.base, run.target_tail_ms);
-        scale = std::min(scale, allowed / std::max(rise, allowed));
-    }
-    if (!is_suspected) {
-        return full_pace;
-    }
-    if (crossed_for * 1000 >= limits_.interference_limit * suspected_share_permille) {
-        return 0;
+    const auto all = get_filler_uses(upstream, true);
+    const filler_use use{filler.image, get_share(filler.filler_milli, upstream)};
+    const double scale = get_filler_scale(upstream, use, all);
+    const bool is_suspected = scale < 1.0 || upstream.trim < 1.0;
+    if (is_suspected && crossed_for * 1000 >= limits_.interference_limit * suspected_share_permille) {
+        return is_harmless(upstream, use) ? full_pace : 0;
     }
-    return static_cast<std::int32_t>(std::lround(scale * upstream.trim * full_pace));
+    return static_cast<std::int32_t>(std::lround(scale * full_pace));
+}
+
+bool cell_scheduler::is_harmless(const upstream_ledger& upstream, const filler_use& filler) const {
+    return std::none_of(upstream.runs.begin(), upstream.runs.end(), [&](const auto& entry) {
+        const auto& run = entry.second;
+        return run.target_tail_ms > 0 &&
+               tails_.get_weight(run.image, filler.image) * filler.share >= negligible_rise;
+    });
 }
 
 void cell_scheduler::update_pacing(upstream_ledger& upstream, const upstream_report& report, time_point now) {
--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -15,9 +15,8 @@
 constexpr std::chrono::milliseconds stall_limit{3000};
 // Slower runs are not expected to show progress.
 constexpr std::int32_t slow_pace = 50;
-// A filler starts only where it may run at least at this share of its speed.
-constexpr double least_filler_scale = 0.45;
-constexpr double least_trim = 0.5;
+// A filler starts only where this share of its speed is gained for all fillers together.
+constexpr double least_filler_gain = 0.45;
 // A leaving upstream has to be left this long before its time ends, so that a checkpoint is saved and listed.
 constexpr std::chrono::milliseconds leave_margin{900};
 // Run numbers of one owner; the next owner's numbers begin above them.
@@ -371,13 +370,16 @@
     }
     const auto processors = entry.capacity.get_processors_milli();
     const auto used = upstream.estimate_used_milli() + upstream.filler_milli;
-    const bool has_leftover = used + spec.size.get_processors_milli() <= processors;
-    if (!has_leftover || upstream.trim < least_trim || upstream.crossed_since != time_point::max()) {
+    if (used + spec.size.get_processors_milli() > processors) {
         return false;
     }
-    const double share =
-        static_cast<double>(spec.size.get_processors_milli()) / static_cast<double>(std::max<std::int64_t>(processors, 1));
-    return get_filler_scale(upstream, tails_.get_index(spec.image), share) >= least_filler_scale;
+    return get_filler_gain(upstream, get_filler_use(upstream, spec)) >= least_filler_gain;
+}
+
+filler_use cell_scheduler::get_filler_use(const upstream_ledger& upstream, const step_spec& spec) {
+    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
+    const auto size = static_cast<double>(spec.size.get_processors_milli());
+    return {tails_.get_index(spec.image), size / static_cast<double>(processors)};
 }
 
 double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec,
@@ -404,10 +406,8 @@
 double cell_scheduler::get_filler_cost(const upstream_ledger& upstream, const step_spec& spec) {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
     const auto scale = static_cast<double>(processors);
-    const auto share = static_cast<double>(spec.size.get_processors_milli()) / scale;
     const auto used = static_cast<double>(upstream.estimate_used_milli() + upstream.filler_milli) / scale;
-    const auto pace = get_filler_scale(upstream, tails_.get_index(spec.image), share);
-    return used + slow_filler_cost * (1.0 - pace);
+    return used + slow_filler_cost * (1.0 - get_filler_gain(upstream, get_filler_use(upstream, spec)));
 }
 
 double cell_scheduler::get_serving_cost(const upstream_ledger& upstream, const step_spec& spec) {
--- a/src/process/cell_scheduler.hpp
+++ b/src/process/cell_scheduler.hpp
@@ -208,8 +208,14 @@
                     time_point now);
     void move_slow_fillers(upstream_ledger& upstream, time_point now);
     std::vector<filler_use> get_filler_uses(const upstream_ledger& upstream, bool at_full_pace) const;
-    // Pace, from 0 to 1, that a filler with this use could run at beside what is there.
-    double get_filler_scale(const upstream_ledger& upstream, image_index filler, double share) const;
+    // Pace, from 0 to 1, at which the filler may run if all of these run there.
+    double get_filler_scale(const upstream_ledger& upstream, const filler_use& filler,
+                            const std::vector<filler_use>& all) const;
+    // What all fillers together get done more if this one is added, as a share of what it could do alone. Below
+    // 1 it slows down itself or others.
+    double get_filler_gain(const upstream_ledger& upstream, const filler_use& added) const;
+    // The filler disturbs no serving task of the upstream.
+    bool is_harmless(const upstream_ledger& upstream, const filler_use& filler) const;
 
     // Decisions (cell_placement.cpp)
     void release_lapsed_runs(time_point now);
@@ -226,6 +232,7 @@
     bool is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
                      const std::string& service, time_point now);
     double get_cost(const upstream_ledger& upstream, const step_spec& spec, const task_record& task);
+    filler_use get_filler_use(const upstream_ledger& upstream, const step_spec& spec);
     double get_filler_cost(const upstream_ledger& upstream, const step_spec& spec);
     double get_serving_cost(const upstream_ledger& upstream, const step_spec& spec);
     void start_task(job_record& job, const task_ref& task, const placement& place, std::uint64_t run,
