Order waiting jobs by what they can still bring

Jobs that cannot meet their objective stand back, and of the others those with the least work left for their value go first.

--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -5,6 +5,7 @@
 #include <glog/logging.h>
 
 #include "process/cell_scheduler.hpp"
+#include "process/job_order.hpp"
 
 namespace jacinthvane {
 
@@ -24,8 +25,6 @@
 // Tickets with less time left are not used, since the start has to arrive before they end.
 constexpr std::chrono::milliseconds ticket_margin{250};
 constexpr std::size_t max_advised_upstreams = 20;
-// A job that has missed three times its objective is worth nothing more to its caller than any later end.
-constexpr std::int64_t late_factor = 3;
 
 // Costs of a placement; 1 is an upstream whose processors are all taken.
 constexpr double remote_cost = 3.0;
@@ -206,22 +205,17 @@
 }
 
 std::vector<job_record*> cell_scheduler::sort_waiting_jobs(time_point now) {
-    using sort_key = std::tuple<bool, std::int32_t, time_point>;
-    std::vector<std::pair<sort_key, job_record*>> keyed;
+    std::vector<std::pair<job_rank, job_record*>> ranked;
     for (const auto& id : waiting_jobs_) {
-        auto* job = find_job(id);
-        if (job == nullptr) {
-            continue;
+        if (auto* job = find_job(id)) {
+            ranked.emplace_back(rank_job(*job, get_priority(*job), mean_work_[job->job->rules.queue], now), job);
         }
-        const auto objective = job->get_objective();
-        const auto worthless_at = objective + std::chrono::milliseconds((late_factor - 1) * job->objective_ms);
-        keyed.emplace_back(sort_key{now > worthless_at, get_priority(*job), objective}, job);
     }
-    std::sort(keyed.begin(), keyed.end(), [](const auto& left, const auto& right) {
+    std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
         return left.first != right.first ? left.first < right.first : left.second->id < right.second->id;
     });
     std::vector<job_record*> sorted;
-    for (const auto& [key, job] : keyed) {
+    for (const auto& [rank, job] : ranked) {
         sorted.push_back(job);
     }
     return sorted;
--- a/src/process/cell_scheduler.cpp
+++ b/src/process/cell_scheduler.cpp
@@ -3,12 +3,16 @@
 #include <algorithm>
 #include <chrono>
 
+#include "process/job_order.hpp"
+
 namespace jacinthvane {
 
 namespace {
 
 // A scheduled occurrence starts this long after its due time, since the clocks of VMs differ a little.
 constexpr std::int64_t due_margin_ms = 40;
+// How fast the usual work of a queue's jobs follows the jobs that come.
+constexpr double mean_work_rate = 0.02;
 
 }  // namespace
 
@@ -30,6 +34,9 @@
     record.job = std::move(job);
     record.objective_ms = get_objective_ms(record.job->rules, record.job->spec);
     record.is_inherited = is_inherited;
+    auto& mean_work = mean_work_[record.job->rules.queue];
+    const auto work = get_declared_work(record.job->spec);
+    mean_work = mean_work > 0 ? mean_work + (work - mean_work) * mean_work_rate : work;
     if (progress != nullptr) {
         apply_progress(record, *progress, clock);
     }
--- a/src/process/cell_scheduler.hpp
+++ b/src/process/cell_scheduler.hpp
@@ -258,6 +258,8 @@
     std::set<job_id> scheduled_jobs_;
     std::set<job_id> dirty_jobs_;
     std::map<step_ref, step_tickets> tickets_;
+    // Usual work of a job by queue; see rank_job.
+    std::map<std::string, double> mean_work_;
     tail_model tails_;
     std::vector<upstream_order> queued_orders_;
     std::vector<unplaced_size> unplaced_;
