Weigh each pair of images by how uncertain it is

Cause: the weights of pairs were learnt at a fixed rate, so those of harmless pairs kept jumping: the number of upstreams where an image counted as harmless went from 14 to 1 and back within seconds. Each weight now keeps its variance and takes the part of an error that its uncertainty explains.

--- a/src/process/cell_pacing.cpp
+++ b/src/process/cell_pacing.cpp
@@ -13,7 +13,7 @@
 // The figures of an upstream cover the last half second, so they tell of a change only after that.
 constexpr std::chrono::milliseconds figure_span{550};
 // A rise of the tail below this is no reason to slow a filler down.
-constexpr double negligible_rise = 0.05;
+constexpr double negligible_rise = 0.1;
 constexpr double trim_step_down = 0.6;
 constexpr double trim_step_up = 0.15;
 constexpr double lowest_trim = 0.05;
--- a/src/process/tail_model.hpp
+++ b/src/process/tail_model.hpp
@@ -48,9 +48,15 @@
     static double get_allowed_rise(const tail_base& base, std::int64_t target_ms);
 
 private:
+    struct pair_weight {
+        double mean = 0;
+        // How uncertain the mean is.
+        double variance = 0;
+    };
+
     std::unordered_map<std::string, image_index> indexes_;
     // Row by row, one row a serving image.
-    std::vector<double> weights_;
+    std::vector<pair_weight> weights_;
 };
 
 }  // namespace jacinthvane
