Let a filler wait for a place that suits it

Counts the room for fillers at their paces, and asks for a gain of 0.75, or of 0.9 of the best that any upstream offered the image in the last seconds.

--- a/src/process/cell_pacing.cpp
+++ b/src/process/cell_pacing.cpp
@@ -93,17 +93,20 @@
     return is_suspected ? scale * upstream.trim : 1.0;
 }
 
-double cell_scheduler::get_filler_gain(const upstream_ledger& upstream, const filler_use& added) const {
-    auto all = get_filler_uses(upstream, true);
-    double before = 0;
+double cell_scheduler::get_paced_use(const upstream_ledger& upstream, const std::vector<filler_use>& all) const {
+    double use = 0;
     for (const auto& filler : all) {
-        before += get_filler_scale(upstream, filler, all) * filler.share;
+        use += get_filler_scale(upstream, filler, all) * filler.share;
     }
+    return use;
+}
+
+double cell_scheduler::get_filler_gain(const upstream_ledger& upstream, const filler_use& added) const {
+    auto all = get_filler_uses(upstream, true);
+    const double before = get_paced_use(upstream, all);
     all.push_back(added);
-    double after = 0;
-    for (const auto& filler : all) {
-        after += get_filler_scale(upstream, filler, all) * filler.share;
-    }
+    const double free = 1.0 - get_share(upstream.estimate_used_milli(), upstream);
+    const double after = std::min(get_paced_use(upstream, all), free);
     return (after - before) / std::max(added.share, 1e-6);
 }
 
--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -1,6 +1,6 @@
 #include <algorithm>
 #include <chrono>
-#include <tuple>
+#include <cmath>
 
 #include <glog/logging.h>
 
@@ -17,7 +17,10 @@
 // Slower runs are not expected to show progress.
 constexpr std::int32_t slow_pace = 50;
 // A filler starts only where this share of its speed is gained for all fillers together.
-constexpr double least_filler_gain = 0.45;
+constexpr double least_filler_gain = 0.75;
+// Where no upstream offers that much, this share of the best offer of the last seconds is enough.
+constexpr double good_gain_share = 0.9;
+constexpr std::chrono::duration<double> best_gain_lifetime{4.0};
 // A leaving upstream has to be left this long before its time ends, so that a checkpoint is saved and listed.
 constexpr std::chrono::milliseconds leave_margin{900};
 // Run numbers of one owner; the next owner's numbers begin above them.
@@ -362,12 +365,28 @@
     if (!spec.is_filler) {
         return true;
     }
-    const auto processors = entry.capacity.get_processors_milli();
-    const auto used = upstream.estimate_used_milli() + upstream.filler_milli;
-    if (used + spec.size.get_processors_milli() > processors) {
-        return false;
+    const auto use = get_filler_use(upstream, spec);
+    const auto gain = get_filler_gain(upstream, use);
+    record_gain(use.image, gain, now);
+    return gain >= get_least_gain(use.image, now);
+}
+
+double cell_scheduler::get_least_gain(image_index image, time_point now) {
+    const auto found = best_gains_.find(image);
+    if (found == best_gains_.end()) {
+        return least_filler_gain;
+    }
+    const std::chrono::duration<double> age = now - found->second.seen_at;
+    const double best = found->second.gain * std::exp(-age / best_gain_lifetime);
+    return std::min(least_filler_gain, best * good_gain_share);
+}
+
+void cell_scheduler::record_gain(image_index image, double gain, time_point now) {
+    auto& best = best_gains_[image];
+    const std::chrono::duration<double> age = now - best.seen_at;
+    if (best.seen_at == time_point() || gain >= best.gain * std::exp(-age / best_gain_lifetime)) {
+        best = {gain, now};
     }
-    return get_filler_gain(upstream, get_filler_use(upstream, spec)) >= least_filler_gain;
 }
 
 filler_use cell_scheduler::get_filler_use(const upstream_ledger& upstream, const step_spec& spec) {
--- a/src/process/cell_scheduler.hpp
+++ b/src/process/cell_scheduler.hpp
@@ -163,6 +163,11 @@
         upstream_ledger* upstream = nullptr;
         std::string ticket;
     };
+    // The best gain that any upstream offered an image lately.
+    struct best_gain {
+        double gain = 1.0;
+        time_point seen_at;
+    };
     // Names a kind of task for which no room was found in this round.
     struct unplaced_size {
         std::string service;
@@ -211,6 +216,8 @@
     // Pace, from 0 to 1, at which the filler may run if all of these run there.
     double get_filler_scale(const upstream_ledger& upstream, const filler_use& filler,
                             const std::vector<filler_use>& all) const;
+    // Share of the processors that these fillers use together at their paces.
+    double get_paced_use(const upstream_ledger& upstream, const std::vector<filler_use>& all) const;
     // What all fillers together get done more if this one is added, as a share of what it could do alone. Below
     // 1 it slows down itself or others.
     double get_filler_gain(const upstream_ledger& upstream, const filler_use& added) const;
@@ -233,6 +240,9 @@
                      const std::string& service, time_point now);
     double get_cost(const upstream_ledger& upstream, const step_spec& spec, const task_record& task);
     filler_use get_filler_use(const upstream_ledger& upstream, const step_spec& spec);
+    // The least gain for which a filler takes a place, so that it waits for a good one if there are such.
+    double get_least_gain(image_index image, time_point now);
+    void record_gain(image_index image, double gain, time_point now);
     double get_filler_cost(const upstream_ledger& upstream, const step_spec& spec);
     double get_serving_cost(const upstream_ledger& upstream, const step_spec& spec);
     void start_task(job_record& job, const task_ref& task, const placement& place, std::uint64_t run,
@@ -261,6 +271,7 @@
     // Usual work of a job by queue; see rank_job.
     std::map<std::string, double> mean_work_;
     tail_model tails_;
+    std::map<image_index, best_gain> best_gains_;
     std::vector<upstream_order> queued_orders_;
     std::vector<unplaced_size> unplaced_;
     time_point next_maintenance_;
