--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -125,10 +125,18 @@
 
 }  // namespace
 
-std::string encode_record(const accepted_job& job) { return encode(job); }
-std::string encode_record(const job_progress& progress) { return encode(progress); }
-std::string encode_record(const cell_row& row) { return encode(row); }
-std::string encode_record(const known_upstreams& upstreams) { return encode(upstreams); }
+std::string encode_record(const accepted_job& job) {
+    return encode(job);
+}
+std::string encode_record(const job_progress& progress) {
+    return encode(progress);
+}
+std::string encode_record(const cell_row& row) {
+    return encode(row);
+}
+std::string encode_record(const known_upstreams& upstreams) {
+    return encode(upstreams);
+}
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
     auto job = decode<accepted_job>(bytes, "job record");
@@ -145,19 +153,35 @@
     return decode<job_progress>(bytes, "progress record");
 }
 
-absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes) { return decode<cell_row>(bytes, "cell row"); }
+absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes) {
+    return decode<cell_row>(bytes, "cell row");
+}
 
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes) {
     return decode<known_upstreams>(bytes, "list of known upstreams");
 }
 
-std::string make_job_key(const job_id& id) { return std::string(job_prefix) + id.get(); }
-std::string make_cancel_key(const job_id& id) { return make_job_key(id) + std::string(cancel_suffix); }
-std::string make_progress_key(const job_id& id) { return std::string(progress_prefix) + id.get(); }
-std::string make_cell_key() { return "jv/cell/" + std::string(cell_name); }
-std::string make_owner_key() { return std::string(owner_prefix) + std::string(cell_name); }
-std::string make_commit_key() { return "jv/commit/" + std::string(cell_name); }
-std::string make_upstreams_key() { return "jv/upstreams/" + std::string(cell_name); }
+std::string make_job_key(const job_id& id) {
+    return std::string(job_prefix) + id.get();
+}
+std::string make_cancel_key(const job_id& id) {
+    return make_job_key(id) + std::string(cancel_suffix);
+}
+std::string make_progress_key(const job_id& id) {
+    return std::string(progress_prefix) + id.get();
+}
+std::string make_cell_key() {
+    return "jv/cell/" + std::string(cell_name);
+}
+std::string make_owner_key() {
+    return std::string(owner_prefix) + std::string(cell_name);
+}
+std::string make_commit_key() {
+    return "jv/commit/" + std::string(cell_name);
+}
+std::string make_upstreams_key() {
+    return "jv/upstreams/" + std::string(cell_name);
+}
 
 job_key parse_job_key(std::string_view key) {
     key.remove_prefix(std::min(job_prefix.size(), key.size()));
--- a/src/connection/cell_store.cpp
+++ b/src/connection/cell_store.cpp
@@ -23,7 +23,8 @@
 
 awaitable<absl::StatusOr<transaction_result>> cell_store::transact(store_transaction transaction,
                                                                    time_point deadline) {
-    return std::visit([&](auto& store) { return store->transact(std::move(transaction), deadline); }, backend_);
+    return std::visit([&](auto& store) { return store->transact(std::move(transaction), deadline); },
+                      backend_);
 }
 
 awaitable<absl::StatusOr<granted_lease>> cell_store::grant_lease(std::int64_t time_to_live_ms,
--- a/src/connection/cell_store.hpp
+++ b/src/connection/cell_store.hpp
@@ -100,7 +100,8 @@
 // and renew_lease and transact answer not_found if the lease has ended.
 class cell_store {
 public:
-    using backend = std::variant<std::shared_ptr<platform::store_connection>, std::shared_ptr<memory_cell_store>>;
+    using backend =
+        std::variant<std::shared_ptr<platform::store_connection>, std::shared_ptr<memory_cell_store>>;
 
     explicit cell_store(backend store) : backend_(std::move(store)) {}
 
@@ -109,7 +110,8 @@
     // Returns when something changed after the revision, or with nothing at the end of the wait.
     awaitable<absl::StatusOr<store_changes>> watch(std::string prefix, std::uint64_t after,
                                                    std::int64_t wait_ms, time_point deadline);
-    awaitable<absl::StatusOr<transaction_result>> transact(store_transaction transaction, time_point deadline);
+    awaitable<absl::StatusOr<transaction_result>> transact(store_transaction transaction,
+                                                           time_point deadline);
     awaitable<absl::StatusOr<granted_lease>> grant_lease(std::int64_t time_to_live_ms, time_point deadline);
     awaitable<absl::Status> renew_lease(std::uint64_t lease, time_point deadline);
     awaitable<absl::Status> end_lease(std::uint64_t lease, time_point deadline);
--- a/src/connection/memory_cell_store.cpp
+++ b/src/connection/memory_cell_store.cpp
@@ -36,7 +36,8 @@
 
 absl::Status memory_cell_store::check_up() {
     ++calls_;
-    return faults_.is_down ? make_error(error_kind::store_unavailable, "the store is down") : absl::OkStatus();
+    return faults_.is_down ? make_error(error_kind::store_unavailable, "the store is down")
+                           : absl::OkStatus();
 }
 
 void memory_cell_store::expire_leases_locked() {
@@ -91,7 +92,8 @@
 
 awaitable<absl::StatusOr<store_changes>> memory_cell_store::watch(std::string prefix, std::uint64_t after,
                                                                   std::int64_t wait_ms, time_point deadline) {
-    const auto until = std::min(deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms));
+    const auto until =
+        std::min(deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms));
     bool is_first_look = true;
     while (true) {
         const auto seen = changed_.get_count();
@@ -104,8 +106,8 @@
             is_first_look = false;
             expire_leases_locked();
             if (after < forgotten_) {
-                co_return make_error(error_kind::version_conflict, "the history from revision " +
-                                                                       std::to_string(after) + " is gone");
+                co_return make_error(error_kind::version_conflict,
+                                     "the history from revision " + std::to_string(after) + " is gone");
             }
             store_changes result;
             result.revision = revision_;
@@ -129,8 +131,8 @@
     bool holds = true;
     for (const auto& condition : transaction.conditions) {
         const auto found = items_.find(condition.key);
-        const auto item = found == items_.end() ? store_item{condition.key, std::string(), 0, 0}
-                                                : found->second.item;
+        const auto item =
+            found == items_.end() ? store_item{condition.key, std::string(), 0, 0} : found->second.item;
         holds = holds && item.revision == condition.revision;
         result.present.push_back(item);
     }
--- a/src/connection/memory_cell_store.hpp
+++ b/src/connection/memory_cell_store.hpp
@@ -22,7 +22,8 @@
     awaitable<absl::StatusOr<store_listing>> list(std::string prefix, time_point deadline);
     awaitable<absl::StatusOr<store_changes>> watch(std::string prefix, std::uint64_t after,
                                                    std::int64_t wait_ms, time_point deadline);
-    awaitable<absl::StatusOr<transaction_result>> transact(store_transaction transaction, time_point deadline);
+    awaitable<absl::StatusOr<transaction_result>> transact(store_transaction transaction,
+                                                           time_point deadline);
     awaitable<absl::StatusOr<granted_lease>> grant_lease(std::int64_t time_to_live_ms, time_point deadline);
     awaitable<absl::Status> renew_lease(std::uint64_t lease, time_point deadline);
     awaitable<absl::Status> end_lease(std::uint64_t lease, time_point deadline);
--- a/src/connection/memory_registry.cpp
+++ b/src/connection/memory_registry.cpp
@@ -66,7 +66,8 @@
     co_return config_state{config_, revision_};
 }
 
-awaitable<absl::StatusOr<config_state>> memory_registry::watch_config(std::uint64_t after, std::int64_t wait_ms,
+awaitable<absl::StatusOr<config_state>> memory_registry::watch_config(std::uint64_t after,
+                                                                      std::int64_t wait_ms,
                                                                       time_point deadline) {
     const auto until = get_wait_end(wait_ms, deadline);
     while (true) {
--- a/src/connection/memory_upstreams.cpp
+++ b/src/connection/memory_upstreams.cpp
@@ -65,7 +65,9 @@
     return run.done_before_ms + to_ms(get_now(clock_) - run.started_at);
 }
 
-bool memory_upstreams::has_look_connection(const std::string&) { return true; }
+bool memory_upstreams::has_look_connection(const std::string&) {
+    return true;
+}
 
 awaitable<look_answer> memory_upstreams::look(std::string address, look_order order, std::uint64_t token,
                                               time_point deadline) {
@@ -116,7 +118,8 @@
             acknowledged_[row.task] = true;
         }
     }
-    std::erase_if(upstream->ended, [&](const ended_row& row) { return row.number <= order.acknowledged_end; });
+    std::erase_if(upstream->ended,
+                  [&](const ended_row& row) { return row.number <= order.acknowledged_end; });
     answer.result = order_result::accepted;
     answer.report.clock_ms = read_clock(*upstream);
     answer.report.born_unix_ms = upstream->entry.born_unix_ms;
@@ -126,8 +129,10 @@
         if (run.stops_at) {
             continue;
         }
-        const auto percent = run.task.is_lasting ? 100 : std::min<std::int64_t>(get_done_ms(run) * 100 / run.task.work_ms, 99);
-        answer.report.running.push_back({task, run.run, std::string(), static_cast<std::int32_t>(percent), 0});
+        const auto percent =
+            run.task.is_lasting ? 100 : std::min<std::int64_t>(get_done_ms(run) * 100 / run.task.work_ms, 99);
+        answer.report.running.push_back(
+            {task, run.run, std::string(), static_cast<std::int32_t>(percent), 0});
     }
     return answer;
 }
@@ -135,7 +140,8 @@
 order_answer memory_upstreams::send_now(const upstream_order& order, std::uint64_t token) {
     std::lock_guard lock(mutex_);
     advance_locked();
-    const auto& id = std::visit([](const auto& specific) -> const upstream_id& { return specific.upstream; }, order);
+    const auto& id =
+        std::visit([](const auto& specific) -> const upstream_id& { return specific.upstream; }, order);
     auto* upstream = find(id);
     if (upstream == nullptr) {
         return {order_result::unknown, 0};
--- a/src/connection/memory_upstreams.hpp
+++ b/src/connection/memory_upstreams.hpp
@@ -33,8 +33,8 @@
 };
 
 // Upstreams inside one process, for tests: tokens, leases, lists of runs and ends, stops that exclude later
-// starts. Notes every breach of what must never happen. All times are those of the given clock; nothing happens
-// between calls of advance. Safe to call from any thread.
+// starts. Notes every breach of what must never happen. All times are those of the given clock; nothing
+// happens between calls of advance. Safe to call from any thread.
 class memory_upstreams {
 public:
     // Tells how a task behaves.
@@ -44,7 +44,8 @@
 
     // Calls as upstream_port makes them.
     bool has_look_connection(const std::string& address);
-    awaitable<look_answer> look(std::string address, look_order order, std::uint64_t token, time_point deadline);
+    awaitable<look_answer> look(std::string address, look_order order, std::uint64_t token,
+                                time_point deadline);
     awaitable<order_answer> send(std::string address, upstream_order order, std::uint64_t token,
                                  time_point deadline);
     awaitable<absl::StatusOr<advice_answer>> advise(advice_request request, time_point deadline);
--- a/src/connection/upstream_port.hpp
+++ b/src/connection/upstream_port.hpp
@@ -48,7 +48,8 @@
     // True if a look would use the connection of the last look.
     bool has_look_connection(const std::string& address);
     // A look that acknowledges ends or renews leases is sent only on the connection of the last look.
-    awaitable<look_answer> look(std::string address, look_order order, std::uint64_t token, time_point deadline);
+    awaitable<look_answer> look(std::string address, look_order order, std::uint64_t token,
+                                time_point deadline);
     awaitable<order_answer> send(std::string address, upstream_order order, std::uint64_t token,
                                  time_point deadline);
     awaitable<absl::StatusOr<advice_answer>> advise(advice_request request, time_point deadline);
--- a/src/process/cell_pacing.cpp
+++ b/src/process/cell_pacing.cpp
@@ -1,6 +1,7 @@
 // How fast fillers run beside tasks that serve; see cell_scheduler.hpp.
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 
@@ -25,6 +26,8 @@
 // Below this pace a filler does better elsewhere.
 constexpr std::int32_t slow_pace = 25;
 constexpr std::chrono::milliseconds move_delay{1000};
+// Serving tasks of one upstream that are looked at for a placement; more hardly fit on one.
+constexpr std::size_t max_serving_tasks = 32;
 // Parts of the time for which a target may be crossed: then the suspected fillers stop, then all.
 constexpr std::int64_t suspected_share_permille = 300;
 constexpr std::int64_t all_share_permille = 450;
@@ -34,11 +37,14 @@
     return static_cast<double>(processors_milli) / static_cast<double>(capacity);
 }
 
-bool has_steady_pace(const run_record& run, time_point now) { return now - run.pace_changed_at >= figure_span; }
+bool has_steady_pace(const run_record& run, time_point now) {
+    return now - run.pace_changed_at >= figure_span;
+}
 
 }  // namespace
 
-std::vector<filler_use> cell_scheduler::get_filler_uses(const upstream_ledger& upstream, bool at_full_pace) const {
+std::vector<filler_use> cell_scheduler::get_filler_uses(const upstream_ledger& upstream,
+                                                        bool at_full_pace) const {
     std::vector<filler_use> uses;
     for (const auto& [key, run] : upstream.runs) {
         if (run.filler_milli > 0) {
@@ -93,10 +99,32 @@
     return is_suspected ? scale * upstream.trim : 1.0;
 }
 
-double cell_scheduler::get_paced_use(const upstream_ledger& upstream, const std::vector<filler_use>& all) const {
+double cell_scheduler::get_paced_use(const upstream_ledger& upstream,
+                                     const std::vector<filler_use>& all) const {
+    // The scale of each serving task is the same for all fillers, so it is computed once.
+    struct serving_scale {
+        image_index image = 0;
+        double scale = 1.0;
+    };
+    std::array<serving_scale, max_serving_tasks> servings{};
+    std::size_t count = 0;
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.target_tail_ms > 0 && count < servings.size()) {
+            const double allowed = tail_model::get_allowed_rise(run.base, run.target_tail_ms);
+            servings[count++] = {run.image, allowed / std::max(tails_.get_rise(run.image, all), allowed)};
+        }
+    }
     double use = 0;
     for (const auto& filler : all) {
-        use += get_filler_scale(upstream, filler, all) * filler.share;
+        double scale = 1.0;
+        bool is_suspected = false;
+        for (std::size_t i = 0; i < count; ++i) {
+            if (tails_.get_weight(servings[i].image, filler.image) * filler.share >= negligible_rise) {
+                is_suspected = true;
+                scale = std::min(scale, servings[i].scale);
+            }
+        }
+        use += filler.share * (is_suspected ? scale * upstream.trim : 1.0);
     }
     return use;
 }
--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -97,6 +97,7 @@
         return decisions;
     }
     unplaced_.clear();
+    candidates_at_ = time_point();
     const bool settled = is_settled(now);
     for (auto* job : sort_waiting_jobs(now)) {
         if (job->is_inherited && !settled) {
@@ -211,7 +212,8 @@
     std::vector<std::pair<job_rank, job_record*>> ranked;
     for (const auto& id : waiting_jobs_) {
         if (auto* job = find_job(id)) {
-            ranked.emplace_back(rank_job(*job, get_priority(*job), mean_work_[job->job->rules.queue], now), job);
+            ranked.emplace_back(rank_job(*job, get_priority(*job), mean_work_[job->job->rules.queue], now),
+                                job);
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
@@ -287,6 +289,7 @@
     for (const auto& [upstream, task] : held) {
         upstream->remove_run(task, run);
     }
+    candidates_at_ = time_point();
     if (places.size() < step.tasks.size()) {
         return;
     }
@@ -296,16 +299,40 @@
     }
 }
 
+const std::vector<cell_scheduler::candidate>& cell_scheduler::get_candidates(const job_record& job,
+                                                                             const step_ref& ref,
+                                                                             time_point now) {
+    if (candidates_of_ != ref || candidates_at_ != now) {
+        candidates_of_ = ref;
+        candidates_at_ = now;
+        candidates_.clear();
+        for (auto& [id, upstream] : upstreams_) {
+            candidates_.push_back({&upstream, true, false, 0});
+        }
+    }
+    // A placement changes one upstream only, so the costs of the others hold for the next task of the step.
+    const auto service = get_service(job);
+    const auto& spec = job.job->spec.steps[ref.step];
+    for (auto& one : candidates_) {
+        if (one.is_stale) {
+            one.is_stale = false;
+            one.is_eligible = is_eligible(*one.upstream, job, ref, service, now);
+            one.cost = one.is_eligible ? get_cost(*one.upstream, spec) : 0;
+        }
+    }
+    return candidates_;
+}
+
 std::optional<cell_scheduler::placement> cell_scheduler::choose_upstream(const job_record& job,
                                                                          const step_ref& ref,
                                                                          const task_record& task,
                                                                          time_point now) {
     const auto& spec = job.job->spec.steps[ref.step];
-    const auto service = get_service(job);
-    const bool is_plain =
-        spec.required_label.empty() && spec.max_per_upstream == 0 && task.avoided.empty();
+    const unplaced_size wanted{get_service(job), spec.size, spec.is_filler ? spec.image : std::string(),
+                               spec.is_filler};
     const bool is_hopeless = std::any_of(unplaced_.begin(), unplaced_.end(), [&](const unplaced_size& other) {
-        return other.service == service && other.is_filler == spec.is_filler && other.size.is_within(spec.size);
+        return other.service == wanted.service && other.is_filler == wanted.is_filler &&
+               other.image == wanted.image && other.size.is_within(wanted.size);
     });
     if (is_hopeless) {
         return std::nullopt;
@@ -319,28 +346,29 @@
     }
     placement best;
     double best_cost = 0;
-    for (auto& [id, upstream] : upstreams_) {
-        if (!is_eligible(upstream, job, ref, service, now)) {
+    for (const auto& one : get_candidates(job, ref, now)) {
+        const auto& id = one.upstream->entry.id;
+        if (!one.is_eligible || (needs_ticket && !tickets->second.tickets.contains(id))) {
             continue;
         }
-        if (needs_ticket && !tickets->second.tickets.contains(id)) {
-            continue;
-        }
-        const auto cost = get_cost(upstream, spec, task);
+        const auto cost = one.cost + (is_avoided(task, id) ? avoided_cost : 0.0);
         if (best.upstream == nullptr || cost < best_cost) {
-            best.upstream = &upstream;
+            best.upstream = one.upstream;
             best_cost = cost;
         }
     }
     if (best.upstream == nullptr) {
-        if (is_plain && !needs_ticket) {
-            unplaced_.push_back({service, spec.size, spec.is_filler});
+        if (spec.required_label.empty() && spec.max_per_upstream == 0 && !needs_ticket) {
+            unplaced_.push_back(wanted);
         }
         return std::nullopt;
     }
     if (needs_ticket) {
         best.ticket = tickets->second.tickets.at(best.upstream->entry.id);
     }
+    for (auto& one : candidates_) {
+        one.is_stale = one.is_stale || one.upstream == best.upstream;
+    }
     return best;
 }
 
@@ -395,17 +423,13 @@
     return {tails_.get_index(spec.image), size / static_cast<double>(processors)};
 }
 
-double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec,
-                                const task_record& task) {
+double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec) {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
     const auto scale = static_cast<double>(processors);
     double cost = failure_cost * upstream.health.get_failures();
     if (!spec.data_rack.empty() && spec.data_rack != upstream.entry.get_rack()) {
         cost += remote_cost;
     }
-    if (is_avoided(task, upstream.entry.id)) {
-        cost += avoided_cost;
-    }
     if (spec.is_filler) {
         return cost + get_filler_cost(upstream, spec);
     }
@@ -492,12 +516,11 @@
         tickets.tickets.clear();
     }
     const auto& spec = job.job->spec.steps[ref.step];
-    const task_record any_task;
     const auto service = get_service(job);
     std::vector<std::pair<double, upstream_id>> candidates;
     for (const auto& [id, upstream] : upstreams_) {
         if (!tickets.asked.contains(id) && is_eligible(upstream, job, ref, service, now)) {
-            candidates.emplace_back(get_cost(upstream, spec, any_task), id);
+            candidates.emplace_back(get_cost(upstream, spec), id);
         }
     }
     if (candidates.empty()) {
--- a/src/process/cell_reports.cpp
+++ b/src/process/cell_reports.cpp
@@ -104,7 +104,8 @@
     }
     const auto until = upstream.estimate_clock_ms(now) + limits_.max_lease.count();
     const std::chrono::milliseconds left(until - upstream.clock_ms);
-    const auto lapse = upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + lease_slack;
+    const auto lapse =
+        upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + lease_slack;
     upstream.lapse_at = std::max(upstream.lapse_at, lapse);
     return until;
 }
@@ -118,16 +119,18 @@
         return look;
     }
     auto& upstream = found->second;
-    // On a new connection another life may answer, which would take the number for its own ends. After a failed
-    // look nothing is renewed: a renewal that does not arrive would only put off the end of the lease.
+    // On a new connection another life may answer, which would take the number for its own ends. After a
+    // failed look nothing is renewed: a renewal that does not arrive would only put off the end of the lease.
     const bool is_continued = is_same_connection && upstream.has_answered && !upstream.is_silent;
     look.acknowledged_end = is_continued ? upstream.durable_end : 0;
     if (is_continued) {
         look.lease_until_clock_ms = may_renew ? grant_lease(upstream, now) : 0;
-        const bool is_stopping = std::any_of(upstream.runs.begin(), upstream.runs.end(), [](const auto& entry) {
-            return entry.second.phase == run_phase::stopping;
-        });
-        look.wait_ms = needs_pacing(id) || is_stopping ? pacing_wait_ms : upstream.runs.empty() ? max_wait_ms : idle_wait_ms;
+        const bool is_stopping =
+            std::any_of(upstream.runs.begin(), upstream.runs.end(),
+                        [](const auto& entry) { return entry.second.phase == run_phase::stopping; });
+        look.wait_ms = needs_pacing(id) || is_stopping ? pacing_wait_ms
+                       : upstream.runs.empty()         ? max_wait_ms
+                                                       : idle_wait_ms;
     }
     return look;
 }
@@ -194,8 +197,8 @@
     if (task == nullptr || is_final(job->pending_end)) {
         return;
     }
-    const bool is_current = task->phase == task_phase::active && task->upstream == upstream.entry.id &&
-                            task->last_run == row.run;
+    const bool is_current =
+        task->phase == task_phase::active && task->upstream == upstream.entry.id && task->last_run == row.run;
     // A run that this owner has neither started nor given up, found at the first look after a takeover.
     const bool is_inherited = task->phase == task_phase::waiting && !was_known && row.run > task->last_run;
     if (row.how == run_end::failed) {
@@ -244,9 +247,10 @@
                 continue;
             }
             const auto upstream = upstreams_.find(member.upstream);
-            auto* run = upstream == upstreams_.end()
-                            ? nullptr
-                            : upstream->second.find_run({ref.job, ref.occurrence, ref.step, i}, member.last_run);
+            auto* run =
+                upstream == upstreams_.end()
+                    ? nullptr
+                    : upstream->second.find_run({ref.job, ref.occurrence, ref.step, i}, member.last_run);
             if (run != nullptr) {
                 begin_stop(*run, not_before);
             }
@@ -366,8 +370,8 @@
     run.is_lasting = spec.is_lasting;
     run.target_tail_ms = spec.target_tail_ms;
     run.image = tails_.get_index(spec.image);
-    const bool is_wanted = task->phase == task_phase::waiting && row.run > task->last_run &&
-                           !is_final(job->pending_end);
+    const bool is_wanted =
+        task->phase == task_phase::waiting && row.run > task->last_run && !is_final(job->pending_end);
     if (is_wanted) {
         task->phase = task_phase::active;
         task->upstream = upstream.entry.id;
@@ -412,7 +416,8 @@
 // Takes the key by value, since callers pass the key of the entry that is removed.
 void cell_scheduler::release_run(upstream_ledger& upstream, run_key key, time_point now) {
     LOG(INFO) << "event=run_released task=" << key.first.to_string() << "/" << key.second
-              << " upstream=" << upstream.entry.id.get() << " silent=" << upstream.is_silent << " token=" << token_;
+              << " upstream=" << upstream.entry.id.get() << " silent=" << upstream.is_silent
+              << " token=" << token_;
     upstream.remove_run(key.first, key.second);
     auto* job = find_job(key.first.job);
     auto* task = job == nullptr ? nullptr : job->find_task(key.first);
@@ -444,8 +449,8 @@
         void operator()(const stop_order& stop) { scheduler.apply_stop_answer(stop, answer, now); }
         void operator()(const pace_order& pace) {
             const auto found = scheduler.upstreams_.find(pace.upstream);
-            auto* run = found == scheduler.upstreams_.end() ? nullptr
-                                                            : found->second.find_run(pace.task, pace.run);
+            auto* run =
+                found == scheduler.upstreams_.end() ? nullptr : found->second.find_run(pace.task, pace.run);
             if (run != nullptr && answer.result != order_result::accepted) {
                 // Makes the next look send the pace again.
                 run->pace = 101;
@@ -468,7 +473,8 @@
     run.next_order = now;
 }
 
-void cell_scheduler::apply_start_answer(const start_order& order, const order_answer& answer, time_point now) {
+void cell_scheduler::apply_start_answer(const start_order& order, const order_answer& answer,
+                                        time_point now) {
     const auto found = upstreams_.find(order.upstream);
     auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
     if (run == nullptr) {
--- a/src/process/cell_scheduler.cpp
+++ b/src/process/cell_scheduler.cpp
@@ -19,7 +19,9 @@
 cell_scheduler::cell_scheduler(cell_limits limits, std::uint64_t token, time_point owner_since)
     : limits_(limits), token_(token), owner_since_(owner_since) {}
 
-void cell_scheduler::set_config(std::shared_ptr<const dispatch_config> config) { config_ = std::move(config); }
+void cell_scheduler::set_config(std::shared_ptr<const dispatch_config> config) {
+    config_ = std::move(config);
+}
 
 void cell_scheduler::add_job(const job_id& id, std::shared_ptr<const accepted_job> job,
                              const job_progress* progress, bool is_inherited, clock_reading clock) {
@@ -68,8 +70,8 @@
             continue;
         }
         for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
-            const bool is_done = saved.is_done || std::binary_search(saved.done_tasks.begin(),
-                                                                     saved.done_tasks.end(), i);
+            const bool is_done =
+                saved.is_done || std::binary_search(saved.done_tasks.begin(), saved.done_tasks.end(), i);
             if (is_done) {
                 step->tasks[i].phase = task_phase::done;
                 ++step->done_tasks;
@@ -286,10 +288,11 @@
     bool is_waiting = false;
     if (!is_final(job.pending_end)) {
         for (const auto& [number, occurrence] : job.occurrences) {
-            is_waiting = is_waiting || std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
-                                                   [](const step_state& step) {
-                                                       return step.is_released && step.get_waiting_tasks() > 0;
-                                                   });
+            is_waiting =
+                is_waiting ||
+                std::any_of(occurrence.steps.begin(), occurrence.steps.end(), [](const step_state& step) {
+                    return step.is_released && step.get_waiting_tasks() > 0;
+                });
         }
     }
     if (is_waiting) {
--- a/src/process/cell_scheduler.hpp
+++ b/src/process/cell_scheduler.hpp
@@ -18,8 +18,8 @@
 #include "process/job_spec.hpp"
 #include "process/tail_model.hpp"
 #include "process/upstream_entry.hpp"
-#include "process/upstream_order.hpp"
 #include "process/upstream_ledger.hpp"
+#include "process/upstream_order.hpp"
 #include "process/upstream_report.hpp"
 #include "version/dispatch_config.hpp"
 
@@ -93,8 +93,8 @@
 
     void set_config(std::shared_ptr<const dispatch_config> config);
 
-    // Adds an accepted job, with its durable progress if there is any. Repeats are ignored. A job is inherited
-    // if an earlier owner may have started tasks of it.
+    // Adds an accepted job, with its durable progress if there is any. Repeats are ignored. A job is
+    // inherited if an earlier owner may have started tasks of it.
     void add_job(const job_id& id, std::shared_ptr<const accepted_job> job, const job_progress* progress,
                  bool is_inherited, clock_reading clock);
     // Remembers the final state of a job that ended under an earlier owner.
@@ -127,7 +127,8 @@
 
     void apply_answer(const upstream_order& order, const order_answer& answer, clock_reading clock);
     void apply_advice(const advice_request& request,
-                      const std::vector<std::pair<upstream_id, std::string>>& tickets, time_point valid_until);
+                      const std::vector<std::pair<upstream_id, std::string>>& tickets,
+                      time_point valid_until);
 
     // Decides starts, stops and paces. may_start is false while ownership is not proven.
     cell_decisions decide(clock_reading clock, bool may_start);
@@ -163,6 +164,13 @@
         upstream_ledger* upstream = nullptr;
         std::string ticket;
     };
+    // An upstream as a place for the tasks of one step.
+    struct candidate {
+        upstream_ledger* upstream = nullptr;
+        bool is_stale = true;
+        bool is_eligible = false;
+        double cost = 0;
+    };
     // The best gain that any upstream offered an image lately.
     struct best_gain {
         double gain = 1.0;
@@ -172,6 +180,8 @@
     struct unplaced_size {
         std::string service;
         resource_vector size;
+        // Set for fillers, which fit beside some images only.
+        std::string image;
         bool is_filler = false;
     };
 
@@ -218,8 +228,8 @@
                             const std::vector<filler_use>& all) const;
     // Share of the processors that these fillers use together at their paces.
     double get_paced_use(const upstream_ledger& upstream, const std::vector<filler_use>& all) const;
-    // What all fillers together get done more if this one is added, as a share of what it could do alone. Below
-    // 1 it slows down itself or others.
+    // What all fillers together get done more if this one is added, as a share of what it could do alone.
+    // Below 1 it slows down itself or others.
     double get_filler_gain(const upstream_ledger& upstream, const filler_use& added) const;
     // The filler disturbs no serving task of the upstream.
     bool is_harmless(const upstream_ledger& upstream, const filler_use& filler) const;
@@ -238,7 +248,8 @@
                                              const task_record& task, time_point now);
     bool is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
                      const std::string& service, time_point now);
-    double get_cost(const upstream_ledger& upstream, const step_spec& spec, const task_record& task);
+    const std::vector<candidate>& get_candidates(const job_record& job, const step_ref& step, time_point now);
+    double get_cost(const upstream_ledger& upstream, const step_spec& spec);
     filler_use get_filler_use(const upstream_ledger& upstream, const step_spec& spec);
     // The least gain for which a filler takes a place, so that it waits for a good one if there are such.
     double get_least_gain(image_index image, time_point now);
@@ -274,6 +285,10 @@
     std::map<image_index, best_gain> best_gains_;
     std::vector<upstream_order> queued_orders_;
     std::vector<unplaced_size> unplaced_;
+    // Valid within one decision.
+    std::vector<candidate> candidates_;
+    step_ref candidates_of_;
+    time_point candidates_at_;
     time_point next_maintenance_;
 };
 
--- a/src/process/job_order.cpp
+++ b/src/process/job_order.cpp
@@ -76,7 +76,8 @@
         }
     }
     const auto finish = now + std::chrono::milliseconds(static_cast<std::int64_t>(chain_ms));
-    const auto worthless_at = rank.objective + std::chrono::milliseconds((worthless_factor - 1) * job.objective_ms);
+    const auto worthless_at =
+        rank.objective + std::chrono::milliseconds((worthless_factor - 1) * job.objective_ms);
     if (finish > rank.objective) {
         rank.outlook = finish > worthless_at ? job_outlook::worthless : job_outlook::late;
     }
--- a/src/process/job_order.hpp
+++ b/src/process/job_order.hpp
@@ -15,8 +15,8 @@
 struct job_rank {
     job_outlook outlook = job_outlook::in_time;
     std::int32_t priority = 0;
-    // Remaining work for each unit of the job's value, so that work that is nearly done goes before work of the
-    // same value that has hardly begun.
+    // Remaining work for each unit of the job's value, so that work that is nearly done goes before work of
+    // the same value that has hardly begun.
     double cost_per_value = 0;
     time_point objective;
 
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -23,8 +23,8 @@
     std::uint64_t last_run = 0;
     // Where the active run is.
     upstream_id upstream;
-    // Runs that ended as failed. Those of a gang are kept with its first member. Lasting tasks keep none, since
-    // they may fail any number of times.
+    // Runs that ended as failed. Those of a gang are kept with its first member. Lasting tasks keep none,
+    // since they may fail any number of times.
     std::vector<std::uint64_t> failed_runs;
     // Failures since the task last did well, for the delay before the next start.
     std::uint32_t failures_in_row = 0;
--- a/src/process/job_spec.cpp
+++ b/src/process/job_spec.cpp
@@ -23,7 +23,8 @@
     }
     for (const auto earlier : step.after) {
         if (earlier >= number) {
-            return refuse(number, "waits for step " + std::to_string(earlier) + ", which is not an earlier one");
+            return refuse(number,
+                          "waits for step " + std::to_string(earlier) + ", which is not an earlier one");
         }
     }
     return absl::OkStatus();
@@ -43,7 +44,8 @@
     }
     if (spec.steps.empty() || spec.steps.size() > max_steps) {
         return make_error(error_kind::bad_request, "the job has " + std::to_string(spec.steps.size()) +
-                                                       " steps, allowed are 1 to " + std::to_string(max_steps));
+                                                       " steps, allowed are 1 to " +
+                                                       std::to_string(max_steps));
     }
     std::uint64_t tasks = 0;
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
@@ -54,7 +56,8 @@
     }
     if (tasks > max_tasks_per_job) {
         return make_error(error_kind::bad_request, "the job has " + std::to_string(tasks) +
-                                                       " tasks, allowed are " + std::to_string(max_tasks_per_job));
+                                                       " tasks, allowed are " +
+                                                       std::to_string(max_tasks_per_job));
     }
     if (spec.occurrences > max_occurrences || (spec.occurrences > 1 && spec.period_ms <= 0)) {
         return make_error(error_kind::bad_request, "the schedule has " + std::to_string(spec.occurrences) +
--- a/src/process/log_buffer.cpp
+++ b/src/process/log_buffer.cpp
@@ -37,7 +37,8 @@
         pending_ += "W event=log_lines_dropped count=" + std::to_string(dropped_ - reported_) + "\n";
         reported_ = dropped_;
     }
-    pending_.append(prefix.data(), static_cast<std::size_t>(std::clamp(size, 0, static_cast<int>(prefix.size()) - 1)));
+    pending_.append(prefix.data(),
+                    static_cast<std::size_t>(std::clamp(size, 0, static_cast<int>(prefix.size()) - 1)));
     pending_.append(message, length);
     pending_.push_back('\n');
 }
--- a/src/process/log_buffer.hpp
+++ b/src/process/log_buffer.hpp
@@ -11,8 +11,8 @@
 namespace jacinthvane {
 
 // Takes glog's lines and writes them to a descriptor from time to time, without ever blocking: a line that
-// finds the buffer full is dropped and counted, and the count is written with the next lines. Safe to call from
-// any thread.
+// finds the buffer full is dropped and counted, and the count is written with the next lines. Safe to call
+// from any thread.
 class log_buffer : public google::LogSink {
 public:
     log_buffer(int descriptor, std::size_t max_bytes) : descriptor_(descriptor), max_bytes_(max_bytes) {}
--- a/src/process/task_ref.cpp
+++ b/src/process/task_ref.cpp
@@ -28,7 +28,9 @@
     return job.get() + "." + std::to_string(occurrence) + "." + std::to_string(step);
 }
 
-std::string task_ref::to_string() const { return get_step().to_string() + "." + std::to_string(index); }
+std::string task_ref::to_string() const {
+    return get_step().to_string() + "." + std::to_string(index);
+}
 
 std::optional<task_ref> parse_task_ref(std::string_view text) {
     const auto index = take_last_number(text);
--- a/src/process/upstream_health.hpp
+++ b/src/process/upstream_health.hpp
@@ -8,8 +8,8 @@
 
 namespace jacinthvane {
 
-// Tells an upstream that fails whatever it starts from jobs that fail wherever they start. Failures of several
-// jobs in a row without a success block the upstream for a while; each further block lasts longer.
+// Tells an upstream that fails whatever it starts from jobs that fail wherever they start. Failures of
+// several jobs in a row without a success block the upstream for a while; each further block lasts longer.
 class upstream_health {
 public:
     // The run failed or stood still. A job that has failed on other upstreams too says little about this one.
--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -24,7 +24,9 @@
 // A final state takes up to three entries: the progress, and the removal of the job and of its cancellation.
 constexpr std::size_t max_jobs_per_commit = (max_transaction_entries - 3) / 3;
 
-time_point get_store_deadline() { return std::chrono::steady_clock::now() + store_timeout; }
+time_point get_store_deadline() {
+    return std::chrono::steady_clock::now() + store_timeout;
+}
 
 }  // namespace
 
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -33,7 +33,9 @@
 constexpr std::int64_t delay_spread_ms = 40;
 constexpr milliseconds max_contest_delay{800};
 
-time_point get_deadline(milliseconds timeout) { return std::chrono::steady_clock::now() + timeout; }
+time_point get_deadline(milliseconds timeout) {
+    return std::chrono::steady_clock::now() + timeout;
+}
 
 }  // namespace
 
@@ -85,8 +87,8 @@
 
 bool cell_member::is_ready() const {
     std::lock_guard lock(mutex_);
-    const bool is_store_lost = store_failed_at_ > store_ok_at_ &&
-                               std::chrono::steady_clock::now() > store_ok_at_ + store_patience;
+    const bool is_store_lost =
+        store_failed_at_ > store_ok_at_ && std::chrono::steady_clock::now() > store_ok_at_ + store_patience;
     return config_ != nullptr && !is_stopping_ && !is_store_lost;
 }
 
@@ -143,13 +145,13 @@
             const auto deadline = get_deadline(milliseconds(config_wait_ms) + watch_margin);
             state = co_await ports_.registry.watch_config(revision, config_wait_ms, deadline);
         }
-        const bool is_gone =
-            !state.ok() && get_error_kind(state.status()) == error_kind::version_conflict;
+        const bool is_gone = !state.ok() && get_error_kind(state.status()) == error_kind::version_conflict;
         record_store_call(state.ok() || is_gone);
         if (state.ok()) {
             if (needs_read) {
                 std::lock_guard lock(mutex_);
-                store_delay_ = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
+                store_delay_ =
+                    std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
             }
             install_config(*state);
             revision = state->revision;
@@ -180,8 +182,8 @@
     }
     std::lock_guard lock(mutex_);
     if (owner_row_ != row) {
-        LOG(INFO) << "event=owner_seen token=" << (row ? row->token : 0) << " owner=" << (row ? row->owner : "none")
-                  << " revision=" << item.revision;
+        LOG(INFO) << "event=owner_seen token=" << (row ? row->token : 0)
+                  << " owner=" << (row ? row->owner : "none") << " revision=" << item.revision;
     }
     owner_row_ = row;
 }
@@ -232,7 +234,8 @@
     std::lock_guard lock(mutex_);
     const auto weakness = 1000 / std::max<std::int64_t>(settings_.processors_milli, 10);
     const auto spread = static_cast<std::int64_t>(get_stable_hash(process_name_) % delay_spread_ms);
-    const milliseconds delay(store_delay_.count() * delay_per_store_ms + weakness * delay_of_weakness_ms / 4 + spread);
+    const milliseconds delay(store_delay_.count() * delay_per_store_ms + weakness * delay_of_weakness_ms / 4 +
+                             spread);
     return std::min(delay, max_contest_delay);
 }
 
@@ -336,7 +339,8 @@
         // Two processes never write the same row, since it names its process and the token rises.
         const std::string key = make_cell_key();
         const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
-        const auto present = item.ok() ? decode_cell_row(item->value) : absl::StatusOr<cell_row>(item.status());
+        const auto present =
+            item.ok() ? decode_cell_row(item->value) : absl::StatusOr<cell_row>(item.status());
         revision = present.ok() && *present == row ? item->revision : 0;
     }
     if (revision == 0) {
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -19,8 +19,8 @@
 // has no owner. Safe to call from any thread.
 class cell_member : public std::enable_shared_from_this<cell_member> {
 public:
-    cell_member(asio::io_context& context, cell_ports ports, entry_settings settings, std::string process_name,
-                metrics& counters);
+    cell_member(asio::io_context& context, cell_ports ports, entry_settings settings,
+                std::string process_name, metrics& counters);
 
     void start();
     // Hands the cell over, if this process owns it, and contests it no more.
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -20,14 +20,21 @@
 constexpr milliseconds store_timeout{1500};
 constexpr milliseconds retry_delay{150};
 constexpr milliseconds order_timeout{600};
-// Decisions are made at most this often, so that changes that come together are decided together.
+// Decisions are made at most this often, so that changes that come together are decided together, and less
+// often if they take long: they may use one part in decision_share of the time.
 constexpr milliseconds decision_interval{8};
+constexpr milliseconds max_decision_interval{60};
+constexpr int decision_share = 5;
 // Without any change, deadlines are looked at this often.
 constexpr milliseconds idle_interval{100};
 
-time_point get_store_deadline() { return std::chrono::steady_clock::now() + store_timeout; }
+time_point get_store_deadline() {
+    return std::chrono::steady_clock::now() + store_timeout;
+}
 
-clock_reading read_clock() { return {std::chrono::steady_clock::now(), get_unix_ms()}; }
+clock_reading read_clock() {
+    return {std::chrono::steady_clock::now(), get_unix_ms()};
+}
 
 }  // namespace
 
@@ -118,7 +125,9 @@
     proven_at_ = std::max(proven_at_, sent_at);
 }
 
-bool cell_owner::is_proven() const { return get_suspend_aware_now() < proven_at_ + limits_.proof_window; }
+bool cell_owner::is_proven() const {
+    return get_suspend_aware_now() < proven_at_ + limits_.proof_window;
+}
 
 awaitable<void> cell_owner::run() {
     if (!co_await load()) {
@@ -284,7 +293,8 @@
         known.entries = scheduler_.get_upstreams();
     }
     store_transaction transaction;
-    transaction.conditions = {{make_cell_key(), claim_.row_revision}, {make_upstreams_key(), upstreams_revision_}};
+    transaction.conditions = {{make_cell_key(), claim_.row_revision},
+                              {make_upstreams_key(), upstreams_revision_}};
     transaction.writes = {{make_upstreams_key(), encode_record(known), 0}};
     const auto sent_at = get_suspend_aware_now();
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
@@ -372,8 +382,8 @@
                        << "\"";
             continue;
         }
-        scheduler_.add_job(key.id, std::make_shared<const accepted_job>(std::move(*job)), nullptr, is_inherited,
-                           clock);
+        scheduler_.add_job(key.id, std::make_shared<const accepted_job>(std::move(*job)), nullptr,
+                           is_inherited, clock);
     }
 }
 
@@ -451,7 +461,8 @@
         }
         {
             std::lock_guard lock(mutex_);
-            order = scheduler_.make_look(id, std::chrono::steady_clock::now(), is_same_connection, is_proven());
+            order =
+                scheduler_.make_look(id, std::chrono::steady_clock::now(), is_same_connection, is_proven());
         }
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(order.wait_ms) + margin;
         const auto answer = co_await ports_.upstreams.look(address, order, claim_.row.token, deadline);
@@ -492,13 +503,15 @@
 awaitable<void> cell_owner::dispatch() {
     while (!is_over()) {
         const auto seen = wake_.get_count();
+        const auto begun = std::chrono::steady_clock::now();
         cell_decisions decisions;
         std::vector<std::string> addresses;
         {
             std::lock_guard lock(mutex_);
             decisions = scheduler_.decide(read_clock(), is_proven() && !is_stopping_);
             for (const auto& order : decisions.orders) {
-                const auto& id = std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
+                const auto& id =
+                    std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
                 const auto* upstream = scheduler_.find_upstream(id);
                 addresses.push_back(upstream == nullptr ? std::string() : upstream->entry.address);
             }
@@ -510,7 +523,8 @@
             spawn("fetch_advice", fetch_advice(std::move(request)));
         }
         const auto now = std::chrono::steady_clock::now();
-        co_await wait_until(now + decision_interval);
+        const auto taken = std::chrono::duration_cast<milliseconds>(now - begun) * decision_share;
+        co_await wait_until(now + std::clamp(taken, decision_interval, max_decision_interval));
         co_await wake_.wait(seen, now + idle_interval);
     }
 }
@@ -521,9 +535,9 @@
     const auto* start = std::get_if<start_order>(&order);
     if (start != nullptr || answer.result != order_result::accepted) {
         const auto describe = [](const auto& o) { return o.task.to_string() + "/" + std::to_string(o.run); };
-        LOG(INFO) << "event=" << (start != nullptr ? "start" : "order") << " task="
-                  << std::visit(describe, order) << " upstream="
-                  << std::visit([](const auto& o) { return o.upstream.get(); }, order)
+        LOG(INFO) << "event=" << (start != nullptr ? "start" : "order")
+                  << " task=" << std::visit(describe, order)
+                  << " upstream=" << std::visit([](const auto& o) { return o.upstream.get(); }, order)
                   << " token=" << claim_.row.token << " result=" << get_name(answer.result);
     }
     {
--- a/src/request/job_submission.cpp
+++ b/src/request/job_submission.cpp
@@ -28,14 +28,15 @@
 
 }  // namespace
 
-job_submission::job_submission(asio::io_context& context, cell_store store, std::shared_ptr<cell_member> member,
-                               metrics& counters)
+job_submission::job_submission(asio::io_context& context, cell_store store,
+                               std::shared_ptr<cell_member> member, metrics& counters)
     : store_(std::move(store)),
       member_(std::move(member)),
       metrics_(counters),
       peers_(context, peer_connections) {}
 
-awaitable<absl::Status> job_submission::submit(queue_rules rules, job_id id, job_spec spec, time_point deadline) {
+awaitable<absl::Status> job_submission::submit(queue_rules rules, job_id id, job_spec spec,
+                                               time_point deadline) {
     accepted_job job;
     job.rules = std::move(rules);
     job.spec = std::move(spec);
@@ -72,7 +73,8 @@
     store_transaction transaction;
     // The marker is written even if no job is known, since its creation may be on its way.
     transaction.writes = {{make_cancel_key(id), std::string("1"), 0}};
-    absl::Status last = make_error(error_kind::store_unavailable, "the deadline passed before the store was asked");
+    absl::Status last =
+        make_error(error_kind::store_unavailable, "the deadline passed before the store was asked");
     while (std::chrono::steady_clock::now() < deadline) {
         const auto result = co_await store_.transact(transaction, get_deadline(write_timeout, deadline));
         member_->record_store_call(result.ok());
@@ -90,7 +92,8 @@
     co_return last;
 }
 
-awaitable<absl::StatusOr<job_phase>> job_submission::get_state(std::string queue, job_id id, time_point deadline) {
+awaitable<absl::StatusOr<job_phase>> job_submission::get_state(std::string queue, job_id id,
+                                                               time_point deadline) {
     auto state = co_await ask_owner(queue, id, get_deadline(owner_timeout, deadline));
     if (state.ok()) {
         co_return state;
@@ -99,7 +102,8 @@
     co_return co_await read_state(queue, id, deadline);
 }
 
-awaitable<absl::StatusOr<job_phase>> job_submission::ask_owner(std::string queue, job_id id, time_point deadline) {
+awaitable<absl::StatusOr<job_phase>> job_submission::ask_owner(std::string queue, job_id id,
+                                                               time_point deadline) {
     const auto owner = member_->get_owner();
     if (owner != nullptr && owner->is_loaded()) {
         const auto state = owner->get_state(id, queue);
@@ -120,7 +124,8 @@
     co_return read_state_answer(*response);
 }
 
-awaitable<absl::StatusOr<job_phase>> job_submission::read_state(std::string queue, job_id id, time_point deadline) {
+awaitable<absl::StatusOr<job_phase>> job_submission::read_state(std::string queue, job_id id,
+                                                                time_point deadline) {
     // The job record goes in the same transaction that writes the final progress, so it is read first: if it
     // is absent, the progress read after it tells how the job ended.
     const std::string job_key = make_job_key(id);
@@ -166,7 +171,8 @@
     }
     const auto question = make_status_question();
     const auto asked_at = std::chrono::steady_clock::now();
-    const auto response = co_await peers_.fetch(row->address, question, get_deadline(owner_timeout, deadline));
+    const auto response =
+        co_await peers_.fetch(row->address, question, get_deadline(owner_timeout, deadline));
     if (!response.ok()) {
         co_return make_error(error_kind::peer_unreachable, std::string(response.status().message()));
     }
@@ -179,7 +185,8 @@
     co_return statuses;
 }
 
-awaitable<absl::StatusOr<std::uint64_t>> job_submission::count_pending(std::string queue, time_point deadline) {
+awaitable<absl::StatusOr<std::uint64_t>> job_submission::count_pending(std::string queue,
+                                                                       time_point deadline) {
     const auto statuses = co_await get_statuses(deadline);
     if (!statuses.ok()) {
         co_return statuses.status();
--- a/src/request/job_submission.hpp
+++ b/src/request/job_submission.hpp
@@ -17,9 +17,9 @@
 
 namespace jacinthvane {
 
-// What callers may ask of any process of the cell: submit, look up, cancel and count jobs. Accepting needs the
-// store only; questions go to the owner, and to the store when the owner does not answer. Safe to call from
-// any thread.
+// What callers may ask of any process of the cell: submit, look up, cancel and count jobs. Accepting needs
+// the store only; questions go to the owner, and to the store when the owner does not answer. Safe to call
+// from any thread.
 class job_submission {
 public:
     job_submission(asio::io_context& context, cell_store store, std::shared_ptr<cell_member> member,
--- a/src/request/peer_questions.cpp
+++ b/src/request/peer_questions.cpp
@@ -21,8 +21,8 @@
 constexpr std::size_t max_text_bytes = 4096;
 
 std::optional<job_phase> parse_state(std::string_view name) {
-    for (const auto state : {job_phase::queued, job_phase::running, job_phase::done, job_phase::failed,
-                             job_phase::cancelled}) {
+    for (const auto state :
+         {job_phase::queued, job_phase::running, job_phase::done, job_phase::failed, job_phase::cancelled}) {
         if (name == get_name(state)) {
             return state;
         }
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -102,7 +102,8 @@
     const auto decisions = scheduler->decide(read_clock(), may_start);
     for (const auto& order : decisions.orders) {
         const bool is_lost = loses_order && loses_order(order);
-        const auto answer = is_lost ? order_answer{order_result::unknown, 0} : upstreams.send_now(order, token);
+        const auto answer =
+            is_lost ? order_answer{order_result::unknown, 0} : upstreams.send_now(order, token);
         scheduler->apply_answer(order, answer, read_clock());
     }
     commit();
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -20,7 +20,9 @@
 
 const std::string queue = "merges";
 
-time_point after(milliseconds span) { return std::chrono::steady_clock::now() + span; }
+time_point after(milliseconds span) {
+    return std::chrono::steady_clock::now() + span;
+}
 
 job_spec make_spec(std::uint32_t tasks) {
     job_spec spec;
@@ -77,8 +79,10 @@
     metrics counters;
     std::shared_ptr<memory_cell_store> store = std::make_shared<memory_cell_store>(machine_clock{});
     std::shared_ptr<memory_registry> registry = std::make_shared<memory_registry>();
-    std::shared_ptr<memory_upstreams> upstreams = std::make_shared<memory_upstreams>(
-        machine_clock{}, [](const task_ref&) { return modelled_task{{1000, 1000, 0, 0}, 200, 0, false, false}; });
+    std::shared_ptr<memory_upstreams> upstreams =
+        std::make_shared<memory_upstreams>(machine_clock{}, [](const task_ref&) {
+            return modelled_task{{1000, 1000, 0, 0}, 200, 0, false, false};
+        });
 };
 
 awaitable<bool> wait_for_owner(std::shared_ptr<cell_member> member) {
@@ -162,8 +166,8 @@
     });
 }
 
-// A store that forgets its history must not make the members ask in a loop. A day showed 1,000 calls a second,
-// since each watch began at a revision that was gone.
+// A store that forgets its history must not make the members ask in a loop. A day showed 1,000 calls a
+// second, since each watch began at a revision that was gone.
 BOOST_AUTO_TEST_CASE(asks_calmly_after_the_history_is_gone) {
     cell_parts cell;
     const auto member = cell.add_member("one");
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -94,7 +94,8 @@
     cell_fixture cell(2);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 20000);
     cell.run_for(seconds(1));
-    const auto& busy = cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& busy =
+        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
     cell.upstreams.set_cut(busy.id, true);
     cell.run_for(seconds(5));
     BOOST_TEST(cell.upstreams.get_start_count() == 1U);
--- a/tests/cell_takeover_test.cpp
+++ b/tests/cell_takeover_test.cpp
@@ -48,8 +48,8 @@
     check_no_breach(cell);
 }
 
-// A task may run on an upstream that the successor cannot reach; it starts elsewhere only when no lease of the
-// predecessor can hold there any more.
+// A task may run on an upstream that the successor cannot reach; it starts elsewhere only when no lease of
+// the predecessor can hold there any more.
 BOOST_AUTO_TEST_CASE(does_not_start_inherited_tasks_while_an_upstream_is_unknown) {
     cell_fixture cell(3);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 60000);
@@ -104,8 +104,8 @@
     BOOST_TEST(cell.upstreams.get_start_count() == 3U);
 }
 
-// An end that was committed and not yet acknowledged is listed to the successor again. A day showed it counted
-// twice, so that a job failed before its attempts were used up.
+// An end that was committed and not yet acknowledged is listed to the successor again. A day showed it
+// counted twice, so that a job failed before its attempts were used up.
 BOOST_AUTO_TEST_CASE(counts_a_failure_that_is_listed_again_once) {
     cell_fixture cell(1);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}, 2), 500);
@@ -129,7 +129,8 @@
     while (cell.upstreams.get_start_count() < 2) {
         cell.run_for(milliseconds(20));
     }
-    const auto& second = cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& second =
+        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
     const auto& first = second.id == cell.entries[0].id ? cell.entries[1] : cell.entries[0];
     cell.upstreams.set_cut(first.id, true);
     cell.take_over();
@@ -141,8 +142,8 @@
     BOOST_TEST(cell.upstreams.get_start_count() == 2U);
 }
 
-// Runs of a job that has ended are stopped, and their size is not known. Nothing may start beside them until the
-// last of them is gone. A day showed their room given away when the first one ended.
+// Runs of a job that has ended are stopped, and their size is not known. Nothing may start beside them until
+// the last of them is gone. A day showed their room given away when the first one ended.
 BOOST_AUTO_TEST_CASE(starts_nothing_beside_runs_of_unknown_size) {
     cell_fixture cell(1, {4000, 64000, 0, 0});
     const auto& entry = cell.entries[0];
@@ -156,9 +157,9 @@
     const auto count_starts = [&] {
         cell.clock->advance(milliseconds(50));
         const auto decisions = cell.scheduler->decide(cell.read_clock(), true);
-        return std::count_if(decisions.orders.begin(), decisions.orders.end(), [](const upstream_order& order) {
-            return std::holds_alternative<start_order>(order);
-        });
+        return std::count_if(
+            decisions.orders.begin(), decisions.orders.end(),
+            [](const upstream_order& order) { return std::holds_alternative<start_order>(order); });
     };
     BOOST_TEST(count_starts() == 0);
     report.clock_ms = 5100;
--- a/tests/job_order_test.cpp
+++ b/tests/job_order_test.cpp
@@ -58,8 +58,8 @@
         step.tasks[i].phase = task_phase::done;
         ++step.done_tasks;
     }
-    BOOST_TEST((rank_job(begun, 2, mean_work, now) <
-                rank_job(make_job(20, milliseconds(2000)), 2, mean_work, now)));
+    BOOST_TEST(
+        (rank_job(begun, 2, mean_work, now) < rank_job(make_job(20, milliseconds(2000)), 2, mean_work, now)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -106,7 +106,9 @@
         BOOST_REQUIRE_MESSAGE(!spec.ok(), body.substr(0, 80));
         BOOST_TEST((get_error_kind(spec.status()) == error_kind::bad_request));
         const std::string text(spec.status().message());
-        BOOST_TEST_CONTEXT(text) { BOOST_TEST((text.find(expected) != std::string::npos)); }
+        BOOST_TEST_CONTEXT(text) {
+            BOOST_TEST((text.find(expected) != std::string::npos));
+        }
     }
 }
 
@@ -123,7 +125,10 @@
 // Entries of other writers name no upstream to use.
 BOOST_AUTO_TEST_CASE(refuses_foreign_entries) {
     const std::vector<std::string> cases = {
-        "", "\x01\x02", "{}", R"({"Service":"s"})",
+        "",
+        "\x01\x02",
+        "{}",
+        R"({"Service":"s"})",
         R"({"Service":"s","Addr":"a","Zone":"z","State":"sleeping","Capacity":{"Cpu":1,"MemMb":1},"Labels":[]})",
         R"({"Service":"s","Addr":"a","Zone":"z","State":"ready","Capacity":{"Cpu":"1","MemMb":1},"Labels":[]})",
         R"({"Service":1,"Addr":"a","Zone":"z","State":"ready","Capacity":{"Cpu":1,"MemMb":1},"Labels":[]})"};
@@ -157,8 +162,9 @@
 
 // A list with a row that cannot be read must not be taken for a whole one: the run would count as gone.
 BOOST_AUTO_TEST_CASE(refuses_lists_with_unreadable_rows) {
-    for (const auto* body : {R"({"ClockMs":1,"Running":[["x",1,"",1]],"Ended":[]})", R"({"ClockMs":1,"Running":[]})",
-                             R"({"ClockMs":1,"Running":[],"Ended":[[1,"a.0.0.0",1,"vanished",""]]})"}) {
+    for (const auto* body :
+         {R"({"ClockMs":1,"Running":[["x",1,"",1]],"Ended":[]})", R"({"ClockMs":1,"Running":[]})",
+          R"({"ClockMs":1,"Running":[],"Ended":[[1,"a.0.0.0",1,"vanished",""]]})"}) {
         const auto answer = platform::decode_look_answer(make_response(200, body));
         BOOST_TEST((answer.result == order_result::unknown));
     }
@@ -220,14 +226,15 @@
     BOOST_TEST((*read_progress == progress));
 }
 
-// Guards every decoder against bytes that nobody should send: a day may bring any of them, and none may end the
-// process.
+// Guards every decoder against bytes that nobody should send: a day may bring any of them, and none may end
+// the process.
 BOOST_AUTO_TEST_CASE(survives_any_bytes) {
     accepted_job job;
     job.spec = *platform::decode_job(job_body);
     const std::vector<std::string> seeds = {job_body,      entry_value,  config_value,      look_body,
                                             settings_body, changes_body, encode_record(job)};
-    const std::vector<std::string> tokens = {"null", "-1", "1e999", "\"\"", "[]", "{}", "true", "99999999999999999999"};
+    const std::vector<std::string> tokens = {"null", "-1", "1e999", "\"\"",
+                                             "[]",   "{}", "true",  "99999999999999999999"};
     std::mt19937_64 generator(20261204);
     for (int round = 0; round < 20000; ++round) {
         std::string bytes = seeds[generator() % seeds.size()];
