--- a/src/process/cell_placement.cpp
+++ b/src/process/cell_placement.cpp
@@ -220,6 +220,7 @@
         return left.first != right.first ? left.first < right.first : left.second->id < right.second->id;
     });
     std::vector<job_record*> sorted;
+    sorted.reserve(ranked.size());
     for (const auto& [rank, job] : ranked) {
         sorted.push_back(job);
     }
@@ -570,6 +571,7 @@
         status.pending += job.has_started || is_final(job.pending_end) ? 0 : 1;
     }
     std::vector<queue_status> list;
+    list.reserve(statuses.size());
     for (auto& [name, status] : statuses) {
         list.push_back(status);
     }
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -32,7 +32,7 @@
 void upstream_ledger::add_run(const task_ref& task, std::uint64_t run, run_record record) {
     committed = committed + record.committed;
     filler_milli += record.filler_milli;
-    runs.emplace(run_key{task, run}, std::move(record));
+    runs.emplace(run_key{task, run}, record);
 }
 
 void upstream_ledger::remove_run(const task_ref& task, std::uint64_t run) {
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -344,7 +344,7 @@
         revision = present.ok() && *present == row ? item->revision : 0;
     }
     if (revision == 0) {
-        co_await ports_.store.end_lease(lease->id, get_deadline(store_timeout));
+        co_await give_up_lease(lease->id);
         co_return false;
     }
     LOG(INFO) << "event=cell_taken token=" << row.token << " revision=" << revision << " lease=" << lease->id;
@@ -365,6 +365,14 @@
     co_return true;
 }
 
+// A lease that cannot be ended lapses by itself, so a failure only delays the next owner.
+awaitable<void> cell_member::give_up_lease(std::uint64_t lease) {
+    const auto status = co_await ports_.store.end_lease(lease, get_deadline(store_timeout));
+    if (!status.ok()) {
+        LOG(WARNING) << "event=lease_not_ended lease=" << lease << " error=\"" << status.message() << "\"";
+    }
+}
+
 awaitable<void> cell_member::keep_lease(std::uint64_t lease) {
     const auto owner = get_owner();
     while (!owner->is_over()) {
@@ -384,7 +392,7 @@
     }
     // Ownership ended for another reason: the others need not wait for the lease.
     if (!is_stopping()) {
-        co_await ports_.store.end_lease(lease, get_deadline(store_timeout));
+        co_await give_up_lease(lease);
     }
 }
 
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -47,6 +47,7 @@
     awaitable<bool> renew_claim();
     awaitable<bool> write_claim(cell_row row, std::uint64_t expected_revision);
     awaitable<void> keep_lease(std::uint64_t lease);
+    awaitable<void> give_up_lease(std::uint64_t lease);
 
     void install_config(const config_state& state);
     void set_owner_row(const store_item& item);
