Keep the scheduler with what lives for one ownership

src/process may include nothing outside itself, and the scheduler reads the configuration; its tables live for one token, so they stand in src/version. Ends of runs are logged, and the overview of commands names entry.

--- a/src/command/command_line.cpp
+++ b/src/command/command_line.cpp
@@ -51,6 +51,8 @@
 void print_overview(std::ostream& out) {
     out << "Usage: jacinthvane COMMAND [ARGUMENTS]\n\nCommands:\n";
     out << "  " << pad("serve", 22) << "run one entry process\n";
+    out << "  " << pad("entry", 22)
+        << "run one entry process on the users' platform; --check checks its settings\n";
     for (const auto& command : get_all_commands()) {
         out << "  " << pad(command.get_full_name(), 22) << command.summary << "\n";
     }
--- a/src/connection/upstream_port.hpp
+++ b/src/connection/upstream_port.hpp
@@ -9,10 +9,10 @@
 
 #include "absl/status/statusor.h"
 #include "connection/asio.hpp"
-#include "process/cell_scheduler.hpp"
 #include "process/clock.hpp"
 #include "process/upstream_order.hpp"
 #include "process/upstream_report.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -14,9 +14,9 @@
 #include "connection/registry_port.hpp"
 #include "connection/upstream_port.hpp"
 #include "process/cell_limits.hpp"
-#include "process/cell_scheduler.hpp"
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
--- a/src/request/peer_questions.hpp
+++ b/src/request/peer_questions.hpp
@@ -7,8 +7,8 @@
 
 #include "absl/status/statusor.h"
 #include "connection/http_message.hpp"
-#include "process/cell_scheduler.hpp"
 #include "process/job_progress.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
--- a/src/process/cell_pacing.cpp
+++ b/src/version/cell_pacing.cpp
@@ -5,7 +5,7 @@
 #include <chrono>
 #include <cmath>
 
-#include "process/cell_scheduler.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
--- a/src/process/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -4,8 +4,8 @@
 
 #include <glog/logging.h>
 
-#include "process/cell_scheduler.hpp"
 #include "process/job_order.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
--- a/src/process/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -3,7 +3,7 @@
 
 #include <glog/logging.h>
 
-#include "process/cell_scheduler.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
@@ -184,6 +184,9 @@
 }
 
 void cell_scheduler::apply_end(upstream_ledger& upstream, const ended_row& row, time_point now) {
+    LOG(INFO) << "event=run_ended task=" << row.task.to_string() << "/" << row.run
+              << " upstream=" << upstream.entry.id.get() << " how=" << get_name(row.how)
+              << " end=" << row.number << " token=" << token_;
     const auto* known = upstream.find_run(row.task, row.run);
     const bool was_known = known != nullptr;
     if (was_known && known->filler_milli > 0) {
--- a/src/process/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -1,4 +1,4 @@
-#include "process/cell_scheduler.hpp"
+#include "version/cell_scheduler.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "connection/memory_upstreams.hpp"
-#include "process/cell_scheduler.hpp"
+#include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
