--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -70,7 +70,7 @@
         entry_settings settings;
         settings.vm = vm_id(name);
         settings.peer_address = "127.0.0.1:1";
-        const auto member = std::make_shared<cell_member>(context, make_ports(), settings, name, counters);
+        auto member = std::make_shared<cell_member>(context, make_ports(), settings, name, counters);
         member->start();
         return member;
     }
