Read jobs of the store in one place, and drop fields nobody sets

Loading after a takeover and following changes decoded jobs and cancellations in two loops; both call apply_job_items now, which tells inherited jobs by their revision. queue_status carried a wait and an open flag that nothing set and nobody read, on the peers' questions too.

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -189,7 +189,6 @@
         co_return false;
     }
     jobs_revision_ = job_listing->revision;
-    const auto clock = read_clock();
     std::map<job_id, job_progress> known;
     for (const auto& item : progress_listing->items) {
         const job_id id(item.key.substr(progress_prefix.size()));
@@ -201,33 +200,15 @@
         }
         known.emplace(id, std::move(*decoded));
     }
-    std::lock_guard lock(mutex_);
-    for (const auto& [id, progress_of_job] : known) {
-        if (is_final(progress_of_job.state)) {
-            scheduler_.add_ended_job(id, progress_of_job);
-        }
-    }
-    for (const auto& item : job_listing->items) {
-        const auto key = parse_job_key(item.key);
-        if (key.is_cancel) {
-            continue;
-        }
-        auto job = decode_accepted_job(item.value);
-        if (!job.ok()) {
-            LOG(ERROR) << "event=job_unreadable job=" << key.id.get() << " error=\"" << job.status().message()
-                       << "\"";
-            continue;
-        }
-        const auto found = known.find(key.id);
-        const bool is_inherited = item.created_revision < claim_.row_revision;
-        scheduler_.add_job(key.id, std::make_shared<const accepted_job>(std::move(*job)),
-                           found == known.end() ? nullptr : &found->second, is_inherited, clock);
-    }
-    for (const auto& item : job_listing->items) {
-        if (const auto key = parse_job_key(item.key); key.is_cancel) {
-            scheduler_.cancel_job(key.id, clock);
+    {
+        std::lock_guard lock(mutex_);
+        for (const auto& [id, progress_of_job] : known) {
+            if (is_final(progress_of_job.state)) {
+                scheduler_.add_ended_job(id, progress_of_job);
+            }
         }
     }
+    apply_job_items(job_listing->items, known);
     co_return true;
 }
 
@@ -366,7 +347,8 @@
     }
 }
 
-void cell_owner::apply_job_items(const std::vector<store_item>& items, bool is_inherited) {
+void cell_owner::apply_job_items(const std::vector<store_item>& items,
+                                 const std::map<job_id, job_progress>& known) {
     const auto clock = read_clock();
     std::lock_guard lock(mutex_);
     for (const auto& item : items) {
@@ -382,8 +364,10 @@
                        << "\"";
             continue;
         }
-        scheduler_.add_job(key.id, std::make_shared<const accepted_job>(std::move(*job)), nullptr,
-                           is_inherited, clock);
+        const auto found = known.find(key.id);
+        const bool is_inherited = item.created_revision < claim_.row_revision;
+        scheduler_.add_job(key.id, std::make_shared<const accepted_job>(std::move(*job)),
+                           found == known.end() ? nullptr : &found->second, is_inherited, clock);
     }
 }
 
@@ -394,7 +378,7 @@
             items.push_back(change.item);
         }
     }
-    apply_job_items(items, false);
+    apply_job_items(items, {});
 }
 
 awaitable<void> cell_owner::follow_jobs(std::uint64_t revision) {
@@ -419,7 +403,7 @@
             const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
             if (listing.ok()) {
                 revision = listing->revision;
-                apply_job_items(listing->items, false);
+                apply_job_items(listing->items, {});
                 wake_.notify_all();
                 continue;
             }
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -80,7 +81,8 @@
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
 
-    void apply_job_items(const std::vector<store_item>& items, bool is_inherited);
+    // Adds jobs and cancellations as the store holds them, with their progress as far as it is known.
+    void apply_job_items(const std::vector<store_item>& items, const std::map<job_id, job_progress>& known);
     void apply_job_changes(const store_changes& changes);
     void apply_upstream_changes(const upstream_changes& changes, bool is_listing);
     store_transaction make_commit(const progress_commit& commit) const;
--- a/src/request/peer_questions.cpp
+++ b/src/request/peer_questions.cpp
@@ -39,10 +39,7 @@
 }
 
 json write_queue(const queue_status& status) {
-    return {{"queue", status.queue},
-            {"pending", status.pending},
-            {"expected_wait_ms", status.expected_wait_ms},
-            {"open", status.is_open}};
+    return {{"queue", status.queue}, {"pending", status.pending}};
 }
 
 }  // namespace
@@ -95,8 +92,6 @@
         queue_status status;
         status.queue = row.read_text("queue", max_text_bytes);
         status.pending = static_cast<std::uint64_t>(row.read_integer("pending", 0, INT64_MAX));
-        status.expected_wait_ms = row.read_integer("expected_wait_ms", 0, INT64_MAX);
-        status.is_open = row.read_flag("open");
         if (!row.get_status().ok()) {
             return row.get_status();
         }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -78,9 +78,6 @@
     std::string queue;
     // Accepted jobs of which nothing has started.
     std::uint64_t pending = 0;
-    // How long a new job is expected to wait for room.
-    std::int64_t expected_wait_ms = 0;
-    bool is_open = true;
 
     bool operator==(const queue_status&) const = default;
 };
