Log a summary of the cell once a second

Cause: nothing in the logs told whether work waits for room, for pacing or for a takeover, so a late job could not be traced to what bound it. Ruled out: reading the owner's state page, which nobody can do after the fact.

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -145,6 +145,7 @@
     spawn("write_progress", write_progress());
     spawn("prove_ownership", prove_ownership());
     spawn("remove_expired_jobs", remove_expired_jobs());
+    spawn("log_summaries", log_summaries());
     co_await dispatch();
 }
 
@@ -555,6 +556,25 @@
     wake_.notify_all();
 }
 
+awaitable<void> cell_owner::log_summaries() {
+    constexpr milliseconds interval{1000};
+    while (!is_over()) {
+        co_await wait_until(std::chrono::steady_clock::now() + interval);
+        cell_summary cell;
+        {
+            std::lock_guard lock(mutex_);
+            cell = scheduler_.get_summary(std::chrono::steady_clock::now());
+        }
+        LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
+                  << " waiting_serving=" << cell.waiting_serving << " waiting_fillers=" << cell.waiting_fillers
+                  << " waiting_others=" << cell.waiting_others << " usable=" << cell.usable_upstreams
+                  << " crossed=" << cell.crossed_upstreams << " capacity=" << cell.capacity_milli
+                  << " committed=" << cell.committed_milli << " fillers=" << cell.running_fillers
+                  << " filler_milli=" << cell.filler_milli << " paced_milli=" << cell.paced_milli
+                  << " used_milli=" << cell.used_milli;
+    }
+}
+
 std::string cell_owner::dump_state() const {
     std::lock_guard lock(mutex_);
     std::ostringstream text;
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -80,6 +80,7 @@
     awaitable<bool> write_known_upstreams();
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
+    awaitable<void> log_summaries();
 
     // Adds jobs and cancellations as the store holds them, with their progress as far as it is known.
     void apply_job_items(const std::vector<store_item>& items, const std::map<job_id, job_progress>& known);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "process/cell_limits.hpp"
+#include "process/cell_summary.hpp"
 #include "process/clock.hpp"
 #include "process/ids.hpp"
 #include "process/job_progress.hpp"
@@ -141,6 +142,7 @@
     std::uint64_t get_token() const { return token_; }
     std::size_t get_job_count() const { return jobs_.size(); }
     std::size_t get_run_count() const;
+    cell_summary get_summary(time_point now) const;
 
 private:
     struct ended_job {
--- /dev/null
+++ b/src/version/cell_summary.cpp
@@ -0,0 +1,64 @@
+// The summary of a cell for logs; see cell_scheduler.hpp.
+
+#include "process/cell_summary.hpp"
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+constexpr std::int32_t full_pace = 100;
+
+void count_waiting_tasks(const job_record& job, cell_summary& summary) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+            if (!occurrence.steps[i].is_released) {
+                continue;
+            }
+            const auto& spec = job.job->spec.steps[i];
+            auto& waiting = spec.is_filler             ? summary.waiting_fillers
+                            : spec.target_tail_ms > 0 ? summary.waiting_serving
+                                                      : summary.waiting_others;
+            waiting += occurrence.steps[i].get_waiting_tasks();
+        }
+    }
+}
+
+void count_upstream(const upstream_ledger& upstream, cell_summary& summary) {
+    ++summary.usable_upstreams;
+    summary.crossed_upstreams += upstream.crossed_since != time_point::max() ? 1 : 0;
+    summary.capacity_milli += upstream.entry.capacity.get_processors_milli();
+    summary.committed_milli += upstream.committed.get_processors_milli();
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.filler_milli == 0 || run.phase != run_phase::running) {
+            continue;
+        }
+        ++summary.running_fillers;
+        summary.filler_milli += run.filler_milli;
+        summary.paced_milli += run.filler_milli * run.pace / full_pace;
+        summary.used_milli += run.load;
+    }
+}
+
+}  // namespace
+
+cell_summary cell_scheduler::get_summary(time_point now) const {
+    cell_summary summary;
+    summary.jobs = jobs_.size();
+    for (const auto& id : waiting_jobs_) {
+        if (const auto found = jobs_.find(id); found != jobs_.end()) {
+            count_waiting_tasks(found->second, summary);
+        }
+    }
+    for (const auto& [id, upstream] : upstreams_) {
+        const bool is_usable = upstream.is_listed && upstream.has_answered && !upstream.is_silent &&
+                               !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
+        if (is_usable) {
+            count_upstream(upstream, summary);
+        }
+    }
+    return summary;
+}
+
+}  // namespace jacinthvane
