--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -15,6 +15,7 @@
 // The only cell there is.
 constexpr std::string_view cell_name = "0";
 constexpr std::size_t max_upstreams = 20000;
+constexpr std::size_t max_images = 256;
 
 }  // namespace
 
@@ -90,6 +91,17 @@
     serialize_list(archive, known.entries, max_upstreams);
 }
 
+template <class Archive>
+void serialize(Archive& archive, tail_snapshot::pair_weight& weight) {
+    archive(weight.mean_milli, weight.variance_milli);
+}
+
+template <class Archive>
+void serialize(Archive& archive, tail_snapshot& snapshot) {
+    serialize_list(archive, snapshot.images, max_images);
+    serialize_list(archive, snapshot.weights, max_images * max_images);
+}
+
 namespace {
 
 template <class Record>
@@ -138,6 +150,10 @@
     return encode(upstreams);
 }
 
+std::string encode_record(const tail_snapshot& snapshot) {
+    return encode(snapshot);
+}
+
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
     auto job = decode<accepted_job>(bytes, "job record");
     if (!job.ok()) {
@@ -161,6 +177,17 @@
     return decode<known_upstreams>(bytes, "list of known upstreams");
 }
 
+absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes) {
+    auto snapshot = decode<tail_snapshot>(bytes, "record of learnt tails");
+    if (!snapshot.ok()) {
+        return snapshot;
+    }
+    if (snapshot->weights.size() != snapshot->images.size() * snapshot->images.size()) {
+        return make_error(error_kind::bad_request, "the record of learnt tails has wrong weights");
+    }
+    return snapshot;
+}
+
 std::string make_job_key(const job_id& id) {
     return std::string(job_prefix) + id.get();
 }
@@ -182,6 +209,9 @@
 std::string make_upstreams_key() {
     return "jv/upstreams/" + std::string(cell_name);
 }
+std::string make_tails_key() {
+    return "jv/tails/" + std::string(cell_name);
+}
 
 job_key parse_job_key(std::string_view key) {
     key.remove_prefix(std::min(job_prefix.size(), key.size()));
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -9,6 +9,7 @@
 #include "process/ids.hpp"
 #include "process/job_progress.hpp"
 #include "process/job_spec.hpp"
+#include "process/tail_model.hpp"
 #include "process/upstream_entry.hpp"
 
 namespace jacinthvane {
@@ -36,11 +37,13 @@
 std::string encode_record(const job_progress& progress);
 std::string encode_record(const cell_row& row);
 std::string encode_record(const known_upstreams& upstreams);
+std::string encode_record(const tail_snapshot& snapshot);
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes);
 absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes);
 absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes);
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
+absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes);
 
 // Keys of the records.
 constexpr std::string_view job_prefix = "jv/job/";
@@ -53,6 +56,7 @@
 std::string make_owner_key();
 std::string make_commit_key();
 std::string make_upstreams_key();
+std::string make_tails_key();
 
 // What a key under job_prefix stands for.
 struct job_key {
--- a/src/process/tail_model.cpp
+++ b/src/process/tail_model.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace jacinthvane {
 
@@ -31,6 +32,7 @@
 constexpr double least_headroom = 1.2;
 // What a predecessor has learnt is held to be this much less certain.
 constexpr double inherited_variance_factor = 1.5;
+constexpr double milli = 1000.0;
 
 // Moves the base on to the present along its slope.
 tail_base advance_base(tail_base base, time_point now) {
@@ -114,8 +116,11 @@
     const auto count = snapshot.images.size();
     snapshot.weights.reserve(count * count);
     for (std::size_t serving = 0; serving < count; ++serving) {
-        const auto row = weights_.begin() + static_cast<std::ptrdiff_t>(serving * max_images);
-        snapshot.weights.insert(snapshot.weights.end(), row, row + static_cast<std::ptrdiff_t>(count));
+        for (std::size_t filler = 0; filler < count; ++filler) {
+            const auto& weight = weights_[serving * max_images + filler];
+            snapshot.weights.push_back(
+                {std::llround(weight.mean * milli), std::llround(weight.variance * milli)});
+        }
     }
     return snapshot;
 }
@@ -128,9 +133,12 @@
     for (std::size_t serving = 0; serving < count; ++serving) {
         const auto row = get_index(snapshot.images[serving]);
         for (std::size_t filler = 0; filler < count; ++filler) {
-            auto weight = snapshot.weights[serving * count + filler];
-            weight.variance = std::min(weight.variance * inherited_variance_factor, unknown_variance);
-            weights_[row * max_images + get_index(snapshot.images[filler])] = weight;
+            const auto& saved = snapshot.weights[serving * count + filler];
+            const double mean = static_cast<double>(saved.mean_milli) / milli;
+            const double variance = static_cast<double>(saved.variance_milli) / milli;
+            weights_[row * max_images + get_index(snapshot.images[filler])] = {
+                std::clamp(mean, 0.0, max_weight),
+                std::clamp(variance * inherited_variance_factor, weight_drift, unknown_variance)};
         }
     }
 }
--- a/src/process/tail_model.hpp
+++ b/src/process/tail_model.hpp
@@ -36,11 +36,12 @@
     bool operator==(const tail_base&) const = default;
 };
 
-// What a tail_model has learnt, for a successor: names of images, and for each pair of them its weight.
+// What a tail_model has learnt, for a successor: names of images, and for each pair of them its weight in
+// thousandths.
 struct tail_snapshot {
     struct pair_weight {
-        double mean = 0;
-        double variance = 0;
+        std::int64_t mean_milli = 0;
+        std::int64_t variance_milli = 0;
 
         bool operator==(const pair_weight&) const = default;
     };
@@ -78,9 +79,15 @@
     void apply_snapshot(const tail_snapshot& snapshot);
 
 private:
+    struct pair_weight {
+        double mean = 0;
+        // How uncertain the mean is.
+        double variance = 0;
+    };
+
     std::unordered_map<std::string, image_index> indexes_;
     // Row by row, one row a serving image.
-    std::vector<tail_snapshot::pair_weight> weights_;
+    std::vector<pair_weight> weights_;
 };
 
 }  // namespace jacinthvane
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -77,6 +77,8 @@
     upstream_entry entry;
     // The platform lists it.
     bool is_listed = false;
+    // The store's list names it, so that a successor will ask it for the runs of this owner.
+    bool is_recorded = false;
     // It has answered this owner in its present life.
     bool has_answered = false;
     // The last look got no answer.
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -117,6 +117,9 @@
         progress_.notify_all();
         co_await committed_.wait(seen, deadline);
     }
+    if (is_loaded()) {
+        co_await write_tails(deadline);
+    }
     end("stopped");
 }
 
@@ -146,10 +149,12 @@
     spawn("prove_ownership", prove_ownership());
     spawn("remove_expired_jobs", remove_expired_jobs());
     spawn("log_summaries", log_summaries());
+    spawn("follow_tails", follow_tails());
     co_await dispatch();
 }
 
 awaitable<bool> cell_owner::load() {
+    co_await load_tails();
     // Takeovers happen while the store is troubled, so each part is tried until ownership is lost.
     for (bool is_done = false; !is_done;) {
         is_done = co_await load_jobs();
@@ -305,6 +310,8 @@
                 added.push_back(entry.id);
             }
         }
+        scheduler_.record_upstreams(known.entries);
+        recorded_upstreams_ = known.entries.size();
     }
     for (const auto& id : added) {
         spawn("look_at_upstream", look_at_upstream(id));
@@ -312,6 +319,13 @@
     co_return true;
 }
 
+// Upstreams that are gone leave the list: a successor would wait for each of them until every lease that was
+// ever granted there must have ended.
+bool cell_owner::needs_upstream_list() const {
+    std::lock_guard lock(mutex_);
+    return scheduler_.has_unrecorded_upstreams() || scheduler_.get_upstreams().size() != recorded_upstreams_;
+}
+
 awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
     constexpr std::int64_t wait_ms = 2000;
     constexpr milliseconds margin{700};
@@ -331,14 +345,7 @@
         }
         revision = changes->revision;
         apply_upstream_changes(*changes, is_listing);
-        bool has_new = false;
-        {
-            std::lock_guard lock(mutex_);
-            for (const auto& entry : scheduler_.get_upstreams()) {
-                has_new = has_new || !followed_.contains(entry.id);
-            }
-        }
-        while (has_new && !is_over() && !co_await write_known_upstreams()) {
+        while (needs_upstream_list() && !is_over() && !co_await write_known_upstreams()) {
             co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
         }
         wake_.notify_all();
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -81,6 +81,12 @@
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
     awaitable<void> log_summaries();
+    awaitable<void> load_tails();
+    awaitable<void> follow_tails();
+    // Writes what was learnt of tails, if it has changed since.
+    awaitable<void> write_tails(time_point deadline);
+    // The list in the store names an upstream too many or too few.
+    bool needs_upstream_list() const;
 
     // Adds jobs and cancellations as the store holds them, with their progress as far as it is known.
     void apply_job_items(const std::vector<store_item>& items, const std::map<job_id, job_progress>& known);
@@ -111,6 +117,8 @@
     std::uint64_t commit_revision_ = 0;
     std::uint64_t commit_number_ = 0;
     std::uint64_t upstreams_revision_ = 0;
+    std::size_t recorded_upstreams_ = 0;
+    tail_snapshot written_tails_;
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
     // Something changed that may allow a decision; progress waits to be written; a commit was written.
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -380,8 +380,8 @@
                                  const std::string& service, time_point now) {
     const auto& spec = job.job->spec.steps[ref.step];
     const auto& entry = upstream.entry;
-    const bool is_usable = upstream.is_listed && upstream.has_answered && !upstream.is_silent &&
-                           !entry.is_leaving && !upstream.health.is_blocked(now);
+    const bool is_usable = upstream.is_listed && upstream.is_recorded && upstream.has_answered &&
+                           !upstream.is_silent && !entry.is_leaving && !upstream.health.is_blocked(now);
     if (!is_usable || entry.service != service || !entry.has_label(spec.required_label)) {
         return false;
     }
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -43,6 +43,7 @@
     auto& upstream = upstreams_[entry.id];
     upstream.entry = entry;
     upstream.born_unix_ms = entry.born_unix_ms;
+    upstream.is_recorded = true;
     const auto longest_lease = limits_.max_lease * 1000 / (1000 - limits_.clock_drift_permille);
     upstream.lapse_at = owner_since_ + limits_.proof_window + longest_lease + lease_slack;
 }
@@ -69,6 +70,19 @@
     upstream.entry = entry;
 }
 
+void cell_scheduler::record_upstreams(const std::vector<upstream_entry>& entries) {
+    for (const auto& entry : entries) {
+        if (const auto found = upstreams_.find(entry.id); found != upstreams_.end()) {
+            found->second.is_recorded = true;
+        }
+    }
+}
+
+bool cell_scheduler::has_unrecorded_upstreams() const {
+    return std::any_of(upstreams_.begin(), upstreams_.end(),
+                       [](const auto& entry) { return !entry.second.is_recorded; });
+}
+
 void cell_scheduler::unlist_upstream(const upstream_id& id) {
     if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
         found->second.is_listed = false;
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -110,6 +110,9 @@
     // The platform lists the upstream.
     void list_upstream(const upstream_entry& entry, time_point now);
     void unlist_upstream(const upstream_id& id);
+    // The store's list names these upstreams from now on. Nothing starts on the others.
+    void record_upstreams(const std::vector<upstream_entry>& entries);
+    bool has_unrecorded_upstreams() const;
     std::vector<upstream_entry> get_upstreams() const;
     const upstream_ledger* find_upstream(const upstream_id& id) const;
 
@@ -145,6 +148,10 @@
     std::size_t get_run_count() const;
     cell_summary get_summary(time_point now) const;
 
+    // What was learnt of the disturbance between images, for a successor.
+    tail_snapshot make_tail_snapshot() const { return tails_.make_snapshot(); }
+    void apply_tail_snapshot(const tail_snapshot& snapshot) { tails_.apply_snapshot(snapshot); }
+
 private:
     struct ended_job {
         std::string queue;
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -31,6 +31,7 @@
     for (const auto& entry : entries) {
         scheduler->list_upstream(entry, clock->get_now());
     }
+    scheduler->record_upstreams(entries);
 }
 
 accepted_job cell_fixture::make_job(std::vector<step_spec> steps, std::uint32_t max_attempts) {
@@ -99,6 +100,7 @@
             scheduler->mark_silent(entry.id, now);
         }
     }
+    scheduler->record_upstreams(entries);
     const auto decisions = scheduler->decide(read_clock(), may_start);
     for (const auto& order : decisions.orders) {
         const bool is_lost = loses_order && loses_order(order);
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -139,6 +139,60 @@
     });
 }
 
+// An upstream that is gone leaves the store's list once its leases have ended. A day showed a successor wait
+// 12 s for upstreams that had left long before, with 100 tasks of older jobs that it could have started.
+BOOST_AUTO_TEST_CASE(forgets_an_upstream_that_is_gone) {
+    cell_parts cell;
+    const auto member = cell.add_member("one");
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        const std::string key = make_upstreams_key();
+        co_await wait_until(after(milliseconds(300)));
+        const auto before = co_await cell.store->get(key, after(seconds(1)));
+        BOOST_REQUIRE(before.ok());
+        const auto all = decode_known_upstreams(before->value);
+        BOOST_REQUIRE(all.ok());
+        BOOST_TEST(all->entries.size() == 3U);
+        cell.upstreams->set_cut(upstream_id("u1"), true);
+        cell.registry->remove_upstream(upstream_id("u1"));
+        const auto deadline = after(seconds(20));
+        std::size_t known = 3;
+        while (known == 3 && std::chrono::steady_clock::now() < deadline) {
+            co_await wait_until(after(milliseconds(200)));
+            const auto item = co_await cell.store->get(key, after(seconds(1)));
+            BOOST_REQUIRE(item.ok());
+            const auto rest = decode_known_upstreams(item->value);
+            BOOST_REQUIRE(rest.ok());
+            known = rest->entries.size();
+        }
+        BOOST_TEST(known == 2U);
+    });
+}
+
+// What was learnt of images reaches the next owner through the store.
+BOOST_AUTO_TEST_CASE(loads_what_the_predecessor_has_learnt) {
+    cell_parts cell;
+    tail_snapshot snapshot;
+    snapshot.images = {"serving", "filler"};
+    snapshot.weights = {{0, 100}, {7000, 100}, {0, 100}, {0, 100}};
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        store_transaction transaction;
+        transaction.writes = {{make_tails_key(), encode_record(snapshot), 0}};
+        const auto written = co_await cell.store->transact(transaction, after(seconds(1)));
+        BOOST_REQUIRE(written.ok());
+        const auto member = cell.add_member("one");
+        BOOST_TEST(co_await wait_for_owner(member));
+        co_await member->stop(after(seconds(2)));
+        const std::string key = make_tails_key();
+        const auto item = co_await cell.store->get(key, after(seconds(1)));
+        BOOST_REQUIRE(item.ok());
+        const auto kept = decode_tail_snapshot(item->value);
+        BOOST_REQUIRE(kept.ok());
+        BOOST_TEST((kept->images == snapshot.images));
+        BOOST_TEST(kept->weights[1].mean_milli == 7000);
+    });
+}
+
 // A planned stop hands the cell over at once, and running tasks are adopted by the next owner.
 BOOST_AUTO_TEST_CASE(hands_the_cell_over_when_stopped) {
     cell_parts cell;
--- a/tests/cell_takeover_test.cpp
+++ b/tests/cell_takeover_test.cpp
@@ -67,6 +67,25 @@
     check_no_breach(cell);
 }
 
+// Nobody knows at what pace the predecessor left a filler. A filler that was taken to run at full pace stood
+// still until it was stopped as stalled.
+BOOST_AUTO_TEST_CASE(orders_the_pace_of_adopted_fillers_anew) {
+    cell_fixture cell(1);
+    auto filler = cell_fixture::make_step(1);
+    filler.is_filler = true;
+    cell.add_job("filler", cell_fixture::make_job({filler}), 60000);
+    cell.run_for(seconds(1));
+    int paces = 0;
+    cell.loses_order = [&](const upstream_order& order) {
+        const auto* pace = std::get_if<pace_order>(&order);
+        paces += pace != nullptr && pace->percent == 100 ? 1 : 0;
+        return false;
+    };
+    cell.take_over();
+    cell.run_for(seconds(1));
+    BOOST_TEST(paces == 1);
+}
+
 // Jobs that come after the takeover need not wait for the silent upstream.
 BOOST_AUTO_TEST_CASE(starts_new_jobs_at_once) {
     cell_fixture cell(3);
