Let a filler wait for a place where it gets 0.85 of its speed

Also: an upstream without runs that has left is dropped at once, so that it no longer delays a successor; the lease of an owner is never shorter than the store allows; settings that nothing reads are gone.

--- a/src/process/cell_limits.hpp
+++ b/src/process/cell_limits.hpp
@@ -11,12 +11,8 @@
     // An upstream's clock may be slower than ours by this, in thousandths.
     std::int64_t clock_drift_permille = 20;
     std::chrono::milliseconds stop_timeout{200};
-    std::chrono::milliseconds gang_timeout{3000};
     // How long a serving task may be over its target because of fillers.
     std::chrono::milliseconds interference_limit{4000};
-    std::chrono::milliseconds pace_delay{100};
-    // Factor by which a task away from its data takes longer, in thousandths.
-    std::int64_t remote_factor_permille = 3000;
     // How long an owner acts on its last proof of ownership.
     std::chrono::milliseconds proof_window{6000};
     // How long the outcome of a job can be asked for.
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -230,6 +230,10 @@
     }
 }
 
+std::int64_t cell_member::get_owner_lease_ms() const {
+    return std::max(owner_lease_ms, settings_.min_store_lease_ms);
+}
+
 milliseconds cell_member::get_contest_delay() const {
     std::lock_guard lock(mutex_);
     const auto weakness = 1000 / std::max<std::int64_t>(settings_.processors_milli, 10);
@@ -277,7 +281,7 @@
     if (row->revision != expected) {
         co_return false;
     }
-    const auto lease = co_await ports_.store.grant_lease(owner_lease_ms, get_deadline(store_timeout));
+    const auto lease = co_await ports_.store.grant_lease(get_owner_lease_ms(), get_deadline(store_timeout));
     if (!lease.ok()) {
         co_return true;
     }
@@ -323,7 +327,7 @@
 }
 
 awaitable<bool> cell_member::write_claim(cell_row row, std::uint64_t expected_revision) {
-    const auto lease = co_await ports_.store.grant_lease(owner_lease_ms, get_deadline(store_timeout));
+    const auto lease = co_await ports_.store.grant_lease(get_owner_lease_ms(), get_deadline(store_timeout));
     if (!lease.ok()) {
         co_return false;
     }
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -51,6 +51,7 @@
 
     void install_config(const config_state& state);
     void set_owner_row(const store_item& item);
+    std::int64_t get_owner_lease_ms() const;
     std::chrono::milliseconds get_contest_delay() const;
     bool is_stopping() const;
 
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -17,11 +17,11 @@
 // Slower runs are not expected to show progress.
 constexpr std::int32_t slow_pace = 50;
 // A filler starts only where this share of its speed is gained for all fillers together.
-constexpr double least_filler_gain = 0.75;
+constexpr double least_filler_gain = 0.9;
 // Where no upstream offers that much, this share of the best offer of the last seconds is enough.
 constexpr double good_gain_share = 0.9;
 // Below this a filler mostly takes from those that run already, so it waits for its turn instead.
-constexpr double worthless_filler_gain = 0.5;
+constexpr double worthless_filler_gain = 0.85;
 constexpr std::chrono::duration<double> best_gain_lifetime{4.0};
 // A leaving upstream has to be left this long before its time ends, so that a checkpoint is saved and listed.
 constexpr std::chrono::milliseconds leave_margin{900};
@@ -126,7 +126,10 @@
     std::vector<upstream_id> gone;
     for (auto& [id, upstream] : upstreams_) {
         const bool is_quiet = upstream.is_silent || !upstream.has_answered;
-        if (!is_quiet || now < upstream.lapse_at) {
+        // It has answered this owner and holds none of its runs, so nothing of an earlier owner is left
+        // there.
+        const bool is_empty = upstream.has_answered && upstream.runs.empty() && !upstream.is_listed;
+        if (!is_quiet || (now < upstream.lapse_at && !is_empty)) {
             continue;
         }
         if (!upstream.runs.empty()) {
--- a/src/version/entry_settings.hpp
+++ b/src/version/entry_settings.hpp
@@ -19,10 +19,10 @@
     std::string metrics_address;
     std::string store_address;
     std::string advice_address;
-    std::string vm_list_address;
     // Thousandths of a processor that the process may use.
     std::int64_t processors_milli = 1000;
-    std::int64_t min_owner_lease_ms = 1000;
+    // Shortest lease that the store grants.
+    std::int64_t min_store_lease_ms = 1000;
     // How long a stop may take in all.
     std::int64_t grace_ms = 6000;
     cell_limits limits;
