--- a/src/process/cell_summary.hpp
+++ b/src/process/cell_summary.hpp
@@ -12,8 +12,10 @@
     std::size_t waiting_serving = 0;
     std::size_t waiting_fillers = 0;
     std::size_t waiting_others = 0;
-    // Upstreams that may take work, and those of them where a target is crossed.
+    // Upstreams that may take work, those of them that may take one run at a time since runs failed there,
+    // and those where a target is crossed.
     std::size_t usable_upstreams = 0;
+    std::size_t trial_upstreams = 0;
     std::size_t crossed_upstreams = 0;
     std::int64_t capacity_milli = 0;
     std::int64_t committed_milli = 0;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -575,10 +575,11 @@
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
                   << " waiting_serving=" << cell.waiting_serving
                   << " waiting_fillers=" << cell.waiting_fillers << " waiting_others=" << cell.waiting_others
-                  << " usable=" << cell.usable_upstreams << " crossed=" << cell.crossed_upstreams
-                  << " capacity=" << cell.capacity_milli << " committed=" << cell.committed_milli
-                  << " fillers=" << cell.running_fillers << " filler_milli=" << cell.filler_milli
-                  << " paced_milli=" << cell.paced_milli << " used_milli=" << cell.used_milli;
+                  << " usable=" << cell.usable_upstreams << " on_trial=" << cell.trial_upstreams
+                  << " crossed=" << cell.crossed_upstreams << " capacity=" << cell.capacity_milli
+                  << " committed=" << cell.committed_milli << " fillers=" << cell.running_fillers
+                  << " filler_milli=" << cell.filler_milli << " paced_milli=" << cell.paced_milli
+                  << " used_milli=" << cell.used_milli;
     }
 }
 
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -27,6 +27,7 @@
 
 void count_upstream(const upstream_ledger& upstream, cell_summary& summary) {
     ++summary.usable_upstreams;
+    summary.trial_upstreams += upstream.health.is_on_trial() ? 1 : 0;
     summary.crossed_upstreams += upstream.crossed_since != time_point::max() ? 1 : 0;
     summary.capacity_milli += upstream.entry.capacity.get_processors_milli();
     summary.committed_milli += upstream.committed.get_processors_milli();
