--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -10,6 +10,7 @@
 
 #include "process/error_kind.hpp"
 #include "request/cell_owner.hpp"
+#include "request/store_timing.hpp"
 
 namespace jacinthvane {
 
@@ -17,17 +18,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds store_timeout{1500};
-constexpr milliseconds retry_delay{150};
 // Progress that comes within this time is written together.
 constexpr milliseconds commit_interval{40};
 // A final state takes up to three entries: the progress, and the removal of the job and of its cancellation.
 constexpr std::size_t max_jobs_per_commit = (max_transaction_entries - 3) / 3;
 
-time_point get_store_deadline() {
-    return std::chrono::steady_clock::now() + store_timeout;
-}
-
 }  // namespace
 
 store_transaction cell_owner::make_commit(const progress_commit& commit) const {
@@ -64,7 +59,7 @@
         }
         const bool is_written = co_await write_commit(commit);
         const auto now = std::chrono::steady_clock::now();
-        co_await wait_until(now + (is_written ? commit_interval : retry_delay));
+        co_await wait_until(now + (is_written ? commit_interval : store_retry_delay));
     }
 }
 
@@ -159,56 +154,6 @@
     }
 }
 
-awaitable<void> cell_owner::load_tails() {
-    const std::string key = make_tails_key();
-    const auto item = co_await ports_.store.get(key, get_store_deadline());
-    if (!item.ok() || item->revision == 0) {
-        co_return;
-    }
-    const auto snapshot = decode_tail_snapshot(item->value);
-    if (!snapshot.ok()) {
-        LOG(ERROR) << "event=tails_unreadable error=\"" << snapshot.status().message() << "\"";
-        co_return;
-    }
-    LOG(INFO) << "event=tails_loaded images=" << snapshot->images.size() << " revision=" << item->revision;
-    std::lock_guard lock(mutex_);
-    scheduler_.apply_tail_snapshot(*snapshot);
-    written_tails_ = *snapshot;
-}
-
-awaitable<void> cell_owner::follow_tails() {
-    constexpr milliseconds interval{3000};
-    while (!is_over()) {
-        co_await wait_until(std::chrono::steady_clock::now() + interval);
-        if (!is_over()) {
-            co_await write_tails(get_store_deadline());
-        }
-    }
-}
-
-awaitable<void> cell_owner::write_tails(time_point deadline) {
-    tail_snapshot snapshot;
-    {
-        std::lock_guard lock(mutex_);
-        snapshot = scheduler_.make_tail_snapshot();
-    }
-    if (snapshot == written_tails_) {
-        co_return;
-    }
-    store_transaction transaction;
-    transaction.conditions = {{make_cell_key(), claim_.row_revision}};
-    transaction.writes = {{make_tails_key(), encode_record(snapshot), 0}};
-    const auto result = co_await ports_.store.transact(transaction, std::min(deadline, get_store_deadline()));
-    if (result.ok() && result->is_applied) {
-        written_tails_ = std::move(snapshot);
-        co_return;
-    }
-    // A successor learns anew what is missing.
-    LOG(INFO) << "event=tails_not_written token=" << claim_.row.token << " error=\""
-              << (result.ok() ? "another process took the cell" : std::string(result.status().message()))
-              << "\"";
-}
-
 awaitable<void> cell_owner::remove_expired_jobs() {
     constexpr milliseconds interval{15000};
     constexpr std::size_t max_removals = max_transaction_entries - 1;
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -10,6 +10,7 @@
 #include "connection/spawn_task.hpp"
 #include "process/error_kind.hpp"
 #include "process/stable_hash.hpp"
+#include "request/store_timing.hpp"
 
 namespace jacinthvane {
 
@@ -17,8 +18,8 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds store_timeout{1500};
-constexpr milliseconds retry_delay{200};
+// Pause after a failed read or watch. Every process of the fleet does this while the store is away.
+constexpr milliseconds watch_retry_delay{200};
 // Bounds how long a silent connection can hide a change.
 constexpr std::int64_t config_wait_ms = 1200;
 constexpr std::int64_t owner_wait_ms = 1500;
@@ -140,7 +141,7 @@
         const auto begun = std::chrono::steady_clock::now();
         absl::StatusOr<config_state> state = absl::UnknownError("not read");
         if (needs_read) {
-            state = co_await ports_.registry.get_config(get_deadline(store_timeout));
+            state = co_await ports_.registry.get_config(get_store_deadline());
         } else {
             const auto deadline = get_deadline(milliseconds(config_wait_ms) + watch_margin);
             state = co_await ports_.registry.watch_config(revision, config_wait_ms, deadline);
@@ -166,7 +167,7 @@
                 continue;
             }
         }
-        co_await wait_until(get_deadline(retry_delay));
+        co_await wait_until(get_deadline(watch_retry_delay));
     }
 }
 
@@ -194,10 +195,10 @@
     while (!is_stopping()) {
         // Changes are followed from the revision of the listing: the key's own revision may be older than the
         // history that the store keeps.
-        const auto listing = co_await ports_.store.list(prefix, get_deadline(store_timeout));
+        const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
         record_store_call(listing.ok());
         if (!listing.ok()) {
-            co_await wait_until(get_deadline(retry_delay));
+            co_await wait_until(get_deadline(watch_retry_delay));
             continue;
         }
         const auto found = std::find_if(listing->items.begin(), listing->items.end(),
@@ -253,7 +254,7 @@
         co_return;
     }
     const std::string key = make_owner_key();
-    const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+    const auto item = co_await ports_.store.get(key, get_store_deadline());
     if (!item.ok() || item->revision > 0) {
         co_return;
     }
@@ -269,7 +270,7 @@
         co_return false;
     }
     const std::string key = make_cell_key();
-    const auto row = co_await ports_.store.get(key, get_deadline(store_timeout));
+    const auto row = co_await ports_.store.get(key, get_store_deadline());
     if (!row.ok()) {
         co_return true;
     }
@@ -281,7 +282,7 @@
     if (row->revision != expected) {
         co_return false;
     }
-    const auto lease = co_await ports_.store.grant_lease(get_owner_lease_ms(), get_deadline(store_timeout));
+    const auto lease = co_await ports_.store.grant_lease(get_owner_lease_ms(), get_store_deadline());
     if (!lease.ok()) {
         co_return true;
     }
@@ -292,7 +293,7 @@
     store_transaction transaction;
     transaction.conditions = {{key, expected}, {make_owner_key(), 0}};
     transaction.writes = {{make_owner_key(), row->value, lease->id}};
-    const auto result = co_await ports_.store.transact(transaction, get_deadline(store_timeout));
+    const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     if (!result.ok() || !result->is_applied) {
         co_return true;
     }
@@ -307,7 +308,7 @@
 
 awaitable<bool> cell_member::take_cell() {
     const std::string key = make_cell_key();
-    const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+    const auto item = co_await ports_.store.get(key, get_store_deadline());
     if (!item.ok()) {
         co_return false;
     }
@@ -327,7 +328,7 @@
 }
 
 awaitable<bool> cell_member::write_claim(cell_row row, std::uint64_t expected_revision) {
-    const auto lease = co_await ports_.store.grant_lease(get_owner_lease_ms(), get_deadline(store_timeout));
+    const auto lease = co_await ports_.store.grant_lease(get_owner_lease_ms(), get_store_deadline());
     if (!lease.ok()) {
         co_return false;
     }
@@ -335,14 +336,14 @@
     transaction.conditions = {{make_cell_key(), expected_revision}, {make_owner_key(), 0}};
     transaction.writes = {{make_cell_key(), encode_record(row), 0},
                           {make_owner_key(), encode_record(row), lease->id}};
-    const auto result = co_await ports_.store.transact(transaction, get_deadline(store_timeout));
+    const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     std::uint64_t revision = 0;
     if (result.ok()) {
         revision = result->is_applied ? result->revision : 0;
     } else if (get_error_kind(result.status()) == error_kind::store_outcome_unknown) {
         // Two processes never write the same row, since it names its process and the token rises.
         const std::string key = make_cell_key();
-        const auto item = co_await ports_.store.get(key, get_deadline(store_timeout));
+        const auto item = co_await ports_.store.get(key, get_store_deadline());
         const auto present =
             item.ok() ? decode_cell_row(item->value) : absl::StatusOr<cell_row>(item.status());
         revision = present.ok() && *present == row ? item->revision : 0;
@@ -371,7 +372,7 @@
 
 // A lease that cannot be ended lapses by itself, so a failure only delays the next owner.
 awaitable<void> cell_member::give_up_lease(std::uint64_t lease) {
-    const auto status = co_await ports_.store.end_lease(lease, get_deadline(store_timeout));
+    const auto status = co_await ports_.store.end_lease(lease, get_store_deadline());
     if (!status.ok()) {
         LOG(WARNING) << "event=lease_not_ended lease=" << lease << " error=\"" << status.message() << "\"";
     }
@@ -387,7 +388,7 @@
                 co_return;
             }
         }
-        const auto status = co_await ports_.store.renew_lease(lease, get_deadline(store_timeout));
+        const auto status = co_await ports_.store.renew_lease(lease, get_store_deadline());
         record_store_call(status.ok());
         if (!status.ok() && get_error_kind(status) == error_kind::not_found) {
             LOG(WARNING) << "event=owner_lease_ended lease=" << lease;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -10,6 +10,7 @@
 
 #include "connection/spawn_task.hpp"
 #include "process/error_kind.hpp"
+#include "request/store_timing.hpp"
 
 namespace jacinthvane {
 
@@ -17,8 +18,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds store_timeout{1500};
-constexpr milliseconds retry_delay{150};
 constexpr milliseconds order_timeout{600};
 // Decisions are made at most this often, so that changes that come together are decided together, and less
 // often if they take long: they may use one part in decision_share of the time.
@@ -28,14 +27,6 @@
 // Without any change, deadlines are looked at this often.
 constexpr milliseconds idle_interval{100};
 
-time_point get_store_deadline() {
-    return std::chrono::steady_clock::now() + store_timeout;
-}
-
-clock_reading read_clock() {
-    return {std::chrono::steady_clock::now(), get_unix_ms()};
-}
-
 }  // namespace
 
 cell_owner::cell_owner(asio::io_context& context, cell_ports ports, cell_limits limits, cell_claim claim,
@@ -48,6 +39,10 @@
       scheduler_(limits, claim_.row.token, claim_.claimed_at),
       proven_at_(get_suspend_aware_now()) {}
 
+clock_reading cell_owner::read_clock() {
+    return {std::chrono::steady_clock::now(), get_unix_ms()};
+}
+
 void cell_owner::start(std::shared_ptr<const dispatch_config> config) {
     set_config(std::move(config));
     spawn("cell_owner", run());
@@ -162,7 +157,7 @@
             co_return false;
         }
         if (!is_done) {
-            co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
+            co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
         }
     }
     for (bool is_done = false; !is_done;) {
@@ -171,7 +166,7 @@
             co_return false;
         }
         if (!is_done) {
-            co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
+            co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
         }
     }
     co_return true;
@@ -218,143 +213,6 @@
     co_return true;
 }
 
-awaitable<bool> cell_owner::load_upstreams() {
-    const std::string known_key = make_upstreams_key();
-    const auto known_item = co_await ports_.store.get(known_key, get_store_deadline());
-    if (!known_item.ok()) {
-        co_return false;
-    }
-    const auto listing = co_await ports_.registry.list_upstreams(get_store_deadline());
-    if (!listing.ok()) {
-        co_return false;
-    }
-    upstreams_revision_ = known_item->revision;
-    registry_revision_ = listing->revision;
-    if (known_item->revision > 0) {
-        const auto known = decode_known_upstreams(known_item->value);
-        if (!known.ok()) {
-            LOG(ERROR) << "event=known_upstreams_unreadable error=\"" << known.status().message() << "\"";
-        } else {
-            std::lock_guard lock(mutex_);
-            for (const auto& entry : known->entries) {
-                scheduler_.expect_upstream(entry);
-            }
-        }
-    }
-    apply_upstream_changes(*listing, true);
-    co_return co_await write_known_upstreams();
-}
-
-void cell_owner::apply_upstream_changes(const upstream_changes& changes, bool is_listing) {
-    std::lock_guard lock(mutex_);
-    const auto now = std::chrono::steady_clock::now();
-    std::set<upstream_id> listed;
-    for (const auto& change : changes.changes) {
-        if (!change.entry) {
-            scheduler_.unlist_upstream(change.id);
-            continue;
-        }
-        listed.insert(change.id);
-        const auto* known = scheduler_.find_upstream(change.id);
-        if (known == nullptr || known->entry.is_leaving != change.entry->is_leaving) {
-            LOG(INFO) << "event=upstream_listed upstream=" << change.id.get()
-                      << " address=" << change.entry->address << " leaving=" << change.entry->is_leaving
-                      << " revision=" << changes.revision;
-        }
-        scheduler_.list_upstream(*change.entry, now);
-    }
-    if (!is_listing) {
-        return;
-    }
-    for (const auto& entry : scheduler_.get_upstreams()) {
-        if (!listed.contains(entry.id)) {
-            scheduler_.unlist_upstream(entry.id);
-        }
-    }
-}
-
-awaitable<bool> cell_owner::write_known_upstreams() {
-    known_upstreams known;
-    {
-        std::lock_guard lock(mutex_);
-        known.entries = scheduler_.get_upstreams();
-    }
-    store_transaction transaction;
-    transaction.conditions = {{make_cell_key(), claim_.row_revision},
-                              {make_upstreams_key(), upstreams_revision_}};
-    transaction.writes = {{make_upstreams_key(), encode_record(known), 0}};
-    const auto sent_at = get_suspend_aware_now();
-    const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
-    if (!result.ok()) {
-        co_return false;
-    }
-    if (!result->is_applied) {
-        for (const auto& item : result->present) {
-            if (item.key == make_cell_key() && item.revision != claim_.row_revision) {
-                end("another process took the cell");
-            }
-            if (item.key == make_upstreams_key()) {
-                upstreams_revision_ = item.revision;
-            }
-        }
-        co_return false;
-    }
-    record_proof(sent_at);
-    upstreams_revision_ = result->revision;
-    // Orders may go to these upstreams only now: a successor would have to ask them.
-    std::vector<upstream_id> added;
-    {
-        std::lock_guard lock(mutex_);
-        for (const auto& entry : known.entries) {
-            if (followed_.insert(entry.id).second) {
-                added.push_back(entry.id);
-            }
-        }
-        scheduler_.record_upstreams(known.entries);
-        recorded_upstreams_ = known.entries.size();
-    }
-    for (const auto& id : added) {
-        spawn("look_at_upstream", look_at_upstream(id));
-    }
-    co_return true;
-}
-
-// Upstreams that are gone leave the list: a successor would wait for each of them until every lease that was
-// ever granted there must have ended.
-bool cell_owner::needs_upstream_list() const {
-    std::lock_guard lock(mutex_);
-    return scheduler_.has_unrecorded_upstreams() || scheduler_.get_upstreams().size() != recorded_upstreams_;
-}
-
-awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
-    constexpr std::int64_t wait_ms = 2000;
-    constexpr milliseconds margin{700};
-    // Entries change all the time; those that change within this time are read with one call.
-    constexpr milliseconds gathering{300};
-    while (!is_over()) {
-        const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
-        auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
-        bool is_listing = false;
-        if (!changes.ok() && get_error_kind(changes.status()) == error_kind::version_conflict) {
-            changes = co_await ports_.registry.list_upstreams(get_store_deadline());
-            is_listing = true;
-        }
-        if (!changes.ok()) {
-            co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
-            continue;
-        }
-        revision = changes->revision;
-        apply_upstream_changes(*changes, is_listing);
-        while (needs_upstream_list() && !is_over() && !co_await write_known_upstreams()) {
-            co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
-        }
-        wake_.notify_all();
-        if (!changes->changes.empty()) {
-            co_await wait_until(std::chrono::steady_clock::now() + gathering);
-        }
-    }
-}
-
 void cell_owner::apply_job_items(const std::vector<store_item>& items,
                                  const std::map<job_id, job_progress>& known) {
     const auto clock = read_clock();
@@ -416,79 +274,7 @@
                 continue;
             }
         }
-        co_await wait_until(std::chrono::steady_clock::now() + retry_delay);
-    }
-}
-
-std::string cell_owner::get_address(const upstream_id& id) const {
-    std::lock_guard lock(mutex_);
-    const auto* upstream = scheduler_.find_upstream(id);
-    return upstream == nullptr ? std::string() : upstream->entry.address;
-}
-
-awaitable<void> cell_owner::look_at_upstream(upstream_id id) {
-    constexpr milliseconds margin{500};
-    constexpr milliseconds commit_wait{250};
-    milliseconds failure_delay{50};
-    constexpr milliseconds max_failure_delay{400};
-    while (true) {
-        const auto seen_commits = committed_.get_count();
-        look_order order;
-        const auto address = get_address(id);
-        const bool is_same_connection = ports_.upstreams.has_look_connection(address);
-        const auto now = std::chrono::steady_clock::now();
-        bool waits_for_commit = false;
-        {
-            std::lock_guard lock(mutex_);
-            if (is_over_ || scheduler_.find_upstream(id) == nullptr) {
-                followed_.erase(id);
-                co_return;
-            }
-            waits_for_commit = scheduler_.has_unacknowledged_ends(id);
-        }
-        if (waits_for_commit) {
-            // The upstream would answer at once as long as it has ends to tell.
-            progress_.notify_all();
-            co_await committed_.wait(seen_commits, now + commit_wait);
-        }
-        {
-            std::lock_guard lock(mutex_);
-            order =
-                scheduler_.make_look(id, std::chrono::steady_clock::now(), is_same_connection, is_proven());
-        }
-        const auto deadline = std::chrono::steady_clock::now() + milliseconds(order.wait_ms) + margin;
-        const auto answer = co_await ports_.upstreams.look(address, order, claim_.row.token, deadline);
-        const auto clock = read_clock();
-        bool is_ok = false;
-        {
-            std::lock_guard lock(mutex_);
-            const auto* upstream = scheduler_.find_upstream(id);
-            const bool was_silent = upstream != nullptr && upstream->is_silent;
-            is_ok = answer.result == order_result::accepted;
-            if (is_ok) {
-                scheduler_.apply_report(id, answer.report, clock);
-            } else if (answer.result == order_result::refused_other_life) {
-                scheduler_.end_life(id, clock.now);
-            } else {
-                scheduler_.mark_silent(id, clock.now);
-            }
-            if (upstream != nullptr && was_silent == is_ok) {
-                LOG(INFO) << "event=" << (is_ok ? "upstream_answers" : "upstream_silent")
-                          << " upstream=" << id.get() << " result=" << get_name(answer.result);
-            }
-        }
-        if (answer.result == order_result::refused_token) {
-            end("upstream " + id.get() + " has seen a higher token");
-            co_return;
-        }
-        wake_.notify_all();
-        progress_.notify_all();
-        if (is_ok) {
-            failure_delay = milliseconds(50);
-            continue;
-        }
-        co_await wait_until(std::chrono::steady_clock::now() + failure_delay);
-        failure_delay = std::min(failure_delay * 2, max_failure_delay);
+        co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
     }
 }
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -61,6 +61,7 @@
     std::string dump_state() const;
 
 private:
+    static clock_reading read_clock();
     // Starts a coroutine that keeps this object alive.
     void spawn(const char* name, awaitable<void> task);
     static awaitable<void> keep_alive(std::shared_ptr<cell_owner> self, awaitable<void> task);
--- a/src/version/cell_pacing.cpp
+++ b/src/version/cell_pacing.cpp
@@ -51,25 +51,13 @@
     return now - run.pace_changed_at >= figure_span;
 }
 
-// Runs of fillers, the latest first, since of equal ones a plan slows down the first.
-std::vector<std::pair<run_key, const run_record*>> sort_fillers(const upstream_ledger& upstream) {
-    std::vector<std::pair<run_key, const run_record*>> fillers;
+std::vector<filler_use> get_fillers(const upstream_ledger& upstream) {
+    std::vector<filler_use> fillers;
     for (const auto& [key, run] : upstream.runs) {
         if (run.filler_milli > 0) {
-            fillers.emplace_back(key, &run);
+            fillers.push_back({run.image, get_share(run.filler_milli, upstream)});
         }
     }
-    std::stable_sort(fillers.begin(), fillers.end(), [](const auto& left, const auto& right) {
-        return left.second->started_at > right.second->started_at;
-    });
-    return fillers;
-}
-
-std::vector<filler_use> get_fillers(const upstream_ledger& upstream) {
-    std::vector<filler_use> fillers;
-    for (const auto& [key, run] : sort_fillers(upstream)) {
-        fillers.push_back({run->image, get_share(run->filler_milli, upstream)});
-    }
     return fillers;
 }
 
@@ -214,15 +202,18 @@
     if (upstream.filler_milli == 0) {
         return;
     }
-    const auto sorted = sort_fillers(upstream);
     const auto fillers = get_fillers(upstream);
-    const auto paces =
-        plan_paces(tails_, get_serving_budgets(upstream, now + pace_lead), fillers, get_free_share(upstream));
-    for (std::size_t i = 0; i < sorted.size(); ++i) {
-        const auto& key = sorted[i].first;
-        auto& run = upstream.runs.at(key);
-        const auto planned = static_cast<std::int32_t>(std::lround(paces[i] * full_pace));
-        const auto wanted = limit_pace(upstream, fillers[i], planned, now);
+    const auto budgets = get_serving_budgets(upstream, now + pace_lead);
+    const auto paces = plan_paces(tails_, budgets, fillers, get_free_share(upstream));
+    // The plan has the fillers in the order of their runs.
+    std::size_t index = 0;
+    for (auto& [key, run] : upstream.runs) {
+        if (run.filler_milli == 0) {
+            continue;
+        }
+        const auto planned = static_cast<std::int32_t>(std::lround(paces[index] * full_pace));
+        const auto wanted = limit_pace(upstream, fillers[index], planned, now);
+        ++index;
         const bool is_change = run.pace == unknown_pace || std::abs(wanted - run.pace) >= pace_step ||
                                (wanted != run.pace && (wanted == 0 || wanted == full_pace));
         if (run.phase == run_phase::running && is_change &&
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -2,6 +2,8 @@
 
 #include "process/cell_summary.hpp"
 
+#include <algorithm>
+
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -37,7 +39,7 @@
         }
         ++summary.running_fillers;
         summary.filler_milli += run.filler_milli;
-        summary.paced_milli += run.filler_milli * run.pace / full_pace;
+        summary.paced_milli += run.filler_milli * std::min(run.pace, full_pace) / full_pace;
         summary.used_milli += run.load;
     }
 }
