Let a deposed owner hear of its successor before it sees later jobs

Cause: a successor starts jobs that were accepted after its takeover at once. Change: each takeover writes a record among the jobs, so that one watch tells of the takeover and of later jobs in order; after a gap in the history the owner checks the cell's row before it believes a listing.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::uint32_t format_number = 1;
 constexpr std::string_view cancel_suffix = "/cancel";
+// No job has such an id.
+constexpr std::string_view takeover_name = "!takeover";
 // The only cell there is.
 constexpr std::string_view cell_name = "0";
 constexpr std::size_t max_upstreams = 20000;
@@ -197,6 +199,9 @@
 std::string make_progress_key(const job_id& id) {
     return std::string(progress_prefix) + id.get();
 }
+std::string make_takeover_key() {
+    return std::string(job_prefix) + std::string(takeover_name);
+}
 std::string make_cell_key() {
     return "jv/cell/" + std::string(cell_name);
 }
@@ -215,11 +220,14 @@
 
 job_key parse_job_key(std::string_view key) {
     key.remove_prefix(std::min(job_prefix.size(), key.size()));
+    if (key == takeover_name) {
+        return {job_id(), false, true};
+    }
     const bool is_cancel = key.ends_with(cancel_suffix);
     if (is_cancel) {
         key.remove_suffix(cancel_suffix.size());
     }
-    return {job_id(std::string(key)), is_cancel};
+    return {job_id(std::string(key)), is_cancel, false};
 }
 
 }  // namespace jacinthvane
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -52,6 +52,9 @@
 std::string make_job_key(const job_id& id);
 std::string make_cancel_key(const job_id& id);
 std::string make_progress_key(const job_id& id);
+// Written by each takeover. It stands among the jobs, so that a predecessor that follows these learns of the
+// takeover before it sees any job that was accepted later.
+std::string make_takeover_key();
 std::string make_cell_key();
 std::string make_owner_key();
 std::string make_commit_key();
@@ -62,6 +65,7 @@
 struct job_key {
     job_id id;
     bool is_cancel = false;
+    bool is_takeover = false;
 
     bool operator==(const job_key&) const = default;
 };
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -335,6 +335,7 @@
     store_transaction transaction;
     transaction.conditions = {{make_cell_key(), expected_revision}, {make_owner_key(), 0}};
     transaction.writes = {{make_cell_key(), encode_record(row), 0},
+                          {make_takeover_key(), encode_record(row), 0},
                           {make_owner_key(), encode_record(row), lease->id}};
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     std::uint64_t revision = 0;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -216,9 +216,18 @@
 void cell_owner::apply_job_items(const std::vector<store_item>& items,
                                  const std::map<job_id, job_progress>& known) {
     const auto clock = read_clock();
-    std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     for (const auto& item : items) {
         const auto key = parse_job_key(item.key);
+        if (key.is_takeover) {
+            // Jobs after it belong to the successor, who starts them at once.
+            if (is_succeeded_by(item)) {
+                lock.unlock();
+                end("another process took the cell");
+                return;
+            }
+            continue;
+        }
         if (key.is_cancel) {
             scheduler_.cancel_job(key.id, clock);
             LOG(INFO) << "event=job_cancelled job=" << key.id.get() << " revision=" << item.revision;
@@ -237,6 +246,15 @@
     }
 }
 
+bool cell_owner::is_succeeded_by(const store_item& takeover) const {
+    const auto row = decode_cell_row(takeover.value);
+    if (!row.ok()) {
+        LOG(ERROR) << "event=takeover_unreadable error=\"" << row.status().message() << "\"";
+        return false;
+    }
+    return row->token > claim_.row.token;
+}
+
 void cell_owner::apply_job_changes(const store_changes& changes) {
     std::vector<store_item> items;
     for (const auto& change : changes.changes) {
@@ -247,6 +265,27 @@
     apply_job_items(items, {});
 }
 
+awaitable<bool> cell_owner::reload_jobs(std::uint64_t& revision) {
+    const std::string prefix(job_prefix);
+    const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
+    if (!listing.ok()) {
+        co_return false;
+    }
+    // A listing is read in pages, so it may hold jobs that came after a takeover that it does not show.
+    const std::string cell_key = make_cell_key();
+    const auto row = co_await ports_.store.get(cell_key, get_store_deadline());
+    if (!row.ok()) {
+        co_return false;
+    }
+    if (row->revision != claim_.row_revision) {
+        end("another process took the cell");
+        co_return false;
+    }
+    revision = listing->revision;
+    apply_job_items(listing->items, {});
+    co_return true;
+}
+
 awaitable<void> cell_owner::follow_jobs(std::uint64_t revision) {
     constexpr std::int64_t wait_ms = 2000;
     constexpr milliseconds margin{700};
@@ -266,10 +305,7 @@
             continue;
         }
         if (get_error_kind(changes.status()) == error_kind::version_conflict) {
-            const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
-            if (listing.ok()) {
-                revision = listing->revision;
-                apply_job_items(listing->items, {});
+            if (co_await reload_jobs(revision)) {
                 wake_.notify_all();
                 continue;
             }
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -92,6 +92,10 @@
     // Adds jobs and cancellations as the store holds them, with their progress as far as it is known.
     void apply_job_items(const std::vector<store_item>& items, const std::map<job_id, job_progress>& known);
     void apply_job_changes(const store_changes& changes);
+    // The record tells of an owner with a higher token.
+    bool is_succeeded_by(const store_item& takeover) const;
+    // Reads the jobs anew after a gap in their history.
+    awaitable<bool> reload_jobs(std::uint64_t& revision);
     void apply_upstream_changes(const upstream_changes& changes, bool is_listing);
     store_transaction make_commit(const progress_commit& commit) const;
     void record_proof(time_point sent_at);
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -169,6 +169,33 @@
     });
 }
 
+// A successor starts jobs that come after its takeover at once, so its predecessor must not start them too,
+// even if it has heard of the takeover from nobody else. A day showed 13 tasks run twice.
+BOOST_AUTO_TEST_CASE(leaves_later_jobs_to_the_successor) {
+    cell_parts cell;
+    const auto member = cell.add_member("one");
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        co_await wait_until(after(milliseconds(300)));
+        accepted_job job;
+        job.rules = make_rules();
+        job.spec = make_spec(2);
+        cell_row successor;
+        successor.token = 2;
+        store_transaction transaction;
+        transaction.writes = {{make_cell_key(), encode_record(successor), 0},
+                              {make_takeover_key(), encode_record(successor), 0}};
+        const auto taken = co_await cell.store->transact(transaction, after(seconds(1)));
+        BOOST_REQUIRE(taken.ok());
+        transaction.writes = {{make_job_key(job_id("00000000000000aa")), encode_record(job), 0}};
+        const auto accepted = co_await cell.store->transact(transaction, after(seconds(1)));
+        BOOST_REQUIRE(accepted.ok());
+        co_await wait_until(after(milliseconds(300)));
+        BOOST_TEST(cell.upstreams->get_start_count() == 0U);
+        BOOST_TEST(member->get_owner()->is_over());
+    });
+}
+
 // What was learnt of images reaches the next owner through the store.
 BOOST_AUTO_TEST_CASE(loads_what_the_predecessor_has_learnt) {
     cell_parts cell;
