Log how the owner's work keeps up: watches, commits, polls, orders and late timers

Callers of the grown sites saw tasks run twice and too little served.

The owner now writes event=owner_load once a second: how late its timers run, and count and longest time of decisions, watches, commits, polls and orders. A watch that fails writes event=job_watch_failed with its duration.

--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -74,7 +74,9 @@
     ++commit_number_;
     const auto transaction = make_commit(commit);
     const auto sent_at = get_suspend_aware_now();
+    const auto started_at = std::chrono::steady_clock::now();
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
+    const auto commit_time = std::chrono::steady_clock::now() - started_at;
     if (result.ok() && result->is_applied) {
         commit_revision_ = result->revision;
         metrics_.count(decision::journal_batch);
@@ -85,6 +87,7 @@
             }
         }
         std::lock_guard lock(mutex_);
+        load_.add_commit(commit_time, commit.jobs.size());
         proven_at_ = std::max(proven_at_, sent_at);
         if (is_store_unavailable_) {
             is_store_unavailable_ = false;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -145,6 +145,7 @@
     spawn("prove_ownership", prove_ownership());
     spawn("remove_expired_jobs", remove_expired_jobs());
     spawn("log_summaries", log_summaries());
+    spawn("measure_timers", measure_timers());
     spawn("follow_tails", follow_tails());
     co_await dispatch();
 }
@@ -288,6 +289,20 @@
     co_return true;
 }
 
+void cell_owner::record_watch(const absl::StatusOr<store_changes>& changes, time_point::duration time) {
+    {
+        std::lock_guard lock(mutex_);
+        if (changes.ok()) {
+            load_.add_watch(time, changes->changes.size());
+            return;
+        }
+        load_.add_failed_watch();
+    }
+    LOG(WARNING) << "event=job_watch_failed token=" << claim_.row.token
+                 << " after_ms=" << std::chrono::duration_cast<milliseconds>(time).count() << " error=\""
+                 << changes.status().message() << "\"";
+}
+
 awaitable<void> cell_owner::follow_jobs(std::uint64_t revision) {
     constexpr std::int64_t wait_ms = 2000;
     constexpr milliseconds margin{700};
@@ -296,7 +311,9 @@
     const std::string prefix(job_prefix);
     while (!is_over()) {
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
+        const auto started_at = std::chrono::steady_clock::now();
         const auto changes = co_await ports_.store.watch(prefix, revision, wait_ms, deadline);
+        record_watch(changes, std::chrono::steady_clock::now() - started_at);
         if (changes.ok()) {
             revision = changes->revision;
             apply_job_changes(*changes);
@@ -330,7 +347,9 @@
                     std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
                 const auto* upstream = scheduler_.find_upstream(id);
                 addresses.push_back(upstream == nullptr ? std::string() : upstream->entry.address);
+                load_.begin_order();
             }
+            load_.add_decision(std::chrono::steady_clock::now() - started_at);
         }
         for (std::size_t i = 0; i < decisions.orders.size(); ++i) {
             spawn("send_order", send_order(std::move(decisions.orders[i]), addresses[i]));
@@ -347,7 +366,8 @@
 }
 
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
-    const auto deadline = std::chrono::steady_clock::now() + order_timeout;
+    const auto started_at = std::chrono::steady_clock::now();
+    const auto deadline = started_at + order_timeout;
     const auto response = co_await ports_.upstreams.send(address, order, claim_.row.token, deadline);
     const auto* start = std::get_if<start_order>(&order);
     if (start != nullptr || response.result != order_result::accepted) {
@@ -359,6 +379,8 @@
     }
     {
         std::lock_guard lock(mutex_);
+        load_.end_order(std::chrono::steady_clock::now() - started_at,
+                        response.result != order_result::not_sent);
         scheduler_.apply_order_response(order, response, read_clock());
     }
     if (response.result == order_result::refused_token) {
@@ -394,8 +416,10 @@
     while (!is_over()) {
         co_await wait_until(std::chrono::steady_clock::now() + interval);
         cell_summary cell;
+        std::string load;
         {
             std::lock_guard lock(mutex_);
+            load = load_.take_fields();
             cell = scheduler_.get_summary(std::chrono::steady_clock::now());
         }
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
@@ -406,6 +430,18 @@
                   << " capacity=" << cell.capacity_milli << " committed=" << cell.committed_milli
                   << " fillers=" << cell.running_best_effort << " filler_milli=" << cell.best_effort_milli
                   << " paced_milli=" << cell.limited_cpu_milli << " used_milli=" << cell.used_milli;
+        LOG(INFO) << "event=owner_load token=" << claim_.row.token << " " << load;
+    }
+}
+
+awaitable<void> cell_owner::measure_timers() {
+    constexpr milliseconds interval{50};
+    while (!is_over()) {
+        const auto due = std::chrono::steady_clock::now() + interval;
+        co_await wait_until(due);
+        std::lock_guard lock(mutex_);
+        const auto now = std::chrono::steady_clock::now();
+        load_.add_timer(due, now);
     }
 }
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -17,6 +17,7 @@
 #include "process/cell_limits.hpp"
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
+#include "process/owner_load.hpp"
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -82,6 +83,8 @@
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
     awaitable<void> log_summaries();
+    // Measures how late this process runs its timers.
+    awaitable<void> measure_timers();
     awaitable<void> load_tails();
     awaitable<void> follow_tails();
     // Writes the tail latency estimates if they have changed since the last write.
@@ -94,6 +97,7 @@
     // Adds jobs and cancellations from the store, with their recorded progress if there is any.
     void apply_job_items(const std::vector<store_item>& items, const std::map<job_id, job_progress>& known);
     void apply_job_changes(const store_changes& changes);
+    void record_watch(const absl::StatusOr<store_changes>& changes, time_point::duration time);
     // Whether the takeover record names an owner with a higher fencing token.
     bool is_superseded_by(const store_item& takeover) const;
     // Lists the jobs again after the store has discarded history that the watch needed.
@@ -115,6 +119,7 @@
     mutable ordered_mutex mutex_{lock_rank::cell};
     // Guarded by mutex_.
     cell_scheduler scheduler_;
+    owner_load load_;
     std::set<upstream_id> polled_upstreams_;
     bool is_over_ = false;
     bool is_loaded_ = false;
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -196,7 +196,8 @@
             order = scheduler_.make_poll(id, std::chrono::steady_clock::now(), is_same_connection,
                                          is_ownership_proven());
         }
-        const auto deadline = std::chrono::steady_clock::now() + milliseconds(order.wait_ms) + margin;
+        const auto started_at = std::chrono::steady_clock::now();
+        const auto deadline = started_at + milliseconds(order.wait_ms) + margin;
         const auto response = co_await ports_.upstreams.poll(address, order, claim_.row.token, deadline);
         const auto clock = read_clock();
         bool is_ok = false;
@@ -205,12 +206,14 @@
             const auto* upstream = scheduler_.find_upstream(id);
             const bool was_unresponsive = upstream != nullptr && upstream->is_unresponsive;
             is_ok = response.result == order_result::accepted;
+            load_.add_poll(clock.now - started_at);
             if (is_ok) {
                 scheduler_.apply_report(id, response.report, clock);
             } else if (response.result == order_result::refused_other_incarnation) {
                 scheduler_.end_incarnation(id, clock.now);
             } else {
                 scheduler_.mark_unresponsive(id, clock.now);
+                load_.add_silent_poll();
             }
             if (upstream != nullptr && was_unresponsive == is_ok) {
                 LOG(INFO) << "event=" << (is_ok ? "upstream_answers" : "upstream_silent")
