Release the runs of an upstream only after a poll sent past the end of its leases got no response

Cause: the owner released all runs of an unresponsive upstream as soon as its leases had expired by the owner's reckoning. An expired lease proves that a run has ended, not how. The upstream still lists the end, and the owner did not read that list once more: a single poll that this process sent or read too late made the upstream unresponsive, no lease was renewed from then on, and six seconds later all its runs were given up. So the safety of the owner depended on its speed.

The new test fails on the code before: two starts instead of one.

Fix: the ledger keeps the time at which the latest unanswered poll was sent. An upstream counts as lost, for the release of runs and for a takeover, only if that poll was sent when its leases had already expired. A slow owner therefore waits for the list instead of guessing. An upstream that is gone is released one failed poll later.

--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -90,6 +90,8 @@
     // The last poll got no response.
     bool is_unresponsive = false;
     time_point responded_at;
+    // When the latest poll without a response was sent.
+    time_point unanswered_poll_sent_at;
     // Earliest time at which a leaving upstream may be removed.
     time_point leaves_at;
     // Reading of the upstream's clock, and when the response with it arrived.
@@ -118,6 +120,12 @@
     std::vector<ended_best_effort_task> ended_best_effort_tasks;
     upstream_health health;
 
+    // Whether all runs must have ended and cannot be learned of: their leases have expired, and a poll sent
+    // after that got no response. Before that poll the list of the upstream may show how each run ended.
+    bool is_lost(time_point now) const {
+        return (is_unresponsive || !has_responded) && now >= leases_expire_at &&
+               unanswered_poll_sent_at >= leases_expire_at;
+    }
     resource_vector get_room() const { return entry.capacity - committed; }
     // Estimates the current reading of the upstream's clock, assuming that it runs as fast as the clock of
     // this process.
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -212,7 +212,7 @@
             } else if (response.result == order_result::refused_other_incarnation) {
                 scheduler_.end_incarnation(id, clock.now);
             } else {
-                scheduler_.mark_unresponsive(id, clock.now);
+                scheduler_.mark_unresponsive(id, started_at);
                 load_.add_silent_poll();
             }
             if (upstream != nullptr && was_unresponsive == is_ok) {
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -124,7 +124,7 @@
 
 bool cell_scheduler::is_takeover_resolved(time_point now) const {
     return std::all_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
-        return entry.second.has_responded || now >= entry.second.leases_expire_at;
+        return entry.second.has_responded || entry.second.is_lost(now);
     });
 }
 
@@ -135,7 +135,7 @@
         // It has responded to this owner, so the ledger lists every run there, including those of earlier
         // owners. Without any it can be removed before its leases expire.
         const bool is_empty = upstream.has_responded && upstream.runs.empty() && !upstream.is_listed;
-        if (!is_unreachable || (now < upstream.leases_expire_at && !is_empty)) {
+        if (!upstream.is_lost(now) && !(is_unreachable && is_empty)) {
             continue;
         }
         if (!upstream.runs.empty()) {
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -62,6 +62,7 @@
         upstream.entry = entry;
         upstream.boot_unix_ms = entry.boot_unix_ms;
         upstream.leases_expire_at = now;
+        upstream.unanswered_poll_sent_at = now;
         upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
         upstream.is_listed = true;
         return;
@@ -105,7 +106,9 @@
     upstream.applied_end = 0;
     upstream.durable_end = 0;
     upstream.clock_ms = 0;
+    // Nothing of an earlier owner runs in the new incarnation.
     upstream.leases_expire_at = now;
+    upstream.unanswered_poll_sent_at = now;
     upstream.has_responded = false;
     upstream.health = upstream_health();
 }
@@ -454,12 +457,14 @@
     }
 }
 
-void cell_scheduler::mark_unresponsive(const upstream_id& id, time_point now) {
+void cell_scheduler::mark_unresponsive(const upstream_id& id, time_point sent_at) {
     const auto found = upstreams_.find(id);
-    if (found != upstreams_.end() && !found->second.is_unresponsive) {
-        found->second.is_unresponsive = true;
-        found->second.responded_at = std::min(found->second.responded_at, now);
+    if (found == upstreams_.end()) {
+        return;
     }
+    auto& upstream = found->second;
+    upstream.is_unresponsive = true;
+    upstream.unanswered_poll_sent_at = std::max(upstream.unanswered_poll_sent_at, sent_at);
 }
 
 void cell_scheduler::apply_order_response(const upstream_order& order, const order_response& response,
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -123,7 +123,9 @@
     // proven.
     poll_order make_poll(const upstream_id& id, time_point now, bool is_same_connection, bool may_renew);
     void apply_report(const upstream_id& id, const upstream_report& report, clock_reading clock);
-    void mark_unresponsive(const upstream_id& id, time_point now);
+    // Records that a poll sent at this time got no response. A poll that failed because this process was slow
+    // must not be recorded: it would count as a sign that the upstream is gone.
+    void mark_unresponsive(const upstream_id& id, time_point sent_at);
     // The address belongs to another incarnation now: all runs of this one have ended.
     void end_incarnation(const upstream_id& id, time_point now);
     // True if applied ends are not durable yet, and so cannot be acknowledged.
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -87,7 +87,7 @@
     upstreams.advance();
     const auto now = clock->get_now();
     for (const auto& entry : entries) {
-        if (now < next_poll_[entry.id] || scheduler->find_upstream(entry.id) == nullptr) {
+        if (!is_polling || now < next_poll_[entry.id] || scheduler->find_upstream(entry.id) == nullptr) {
             continue;
         }
         next_poll_[entry.id] = now + poll_interval;
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -40,6 +40,7 @@
     std::uint64_t token = 1;
     bool delays_commits = false;
     bool may_start = true;
+    bool is_polling = true;
     // Returns true for an order that is lost: it gets no response and is not carried out.
     std::function<bool(const upstream_order&)> loses_order;
     std::vector<upstream_entry> entries;
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -105,6 +105,28 @@
     check_no_violations(cell);
 }
 
+// Guards against a second run of a task that was done: the leases had expired by this process's reckoning
+// while it was too slow to read the list of the upstream, and the run was given up without reading that list.
+BOOST_AUTO_TEST_CASE(keeps_runs_of_an_upstream_that_was_not_polled_after_its_leases_expired) {
+    cell_fixture cell(2);
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 1500);
+    cell.run_for(seconds(1));
+    const auto& busy =
+        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    cell.upstreams.set_partitioned(busy.id, true);
+    cell.run_for(seconds(1));
+    // The process does not get to poll the upstream until long after the leases have expired.
+    cell.is_polling = false;
+    cell.run_for(seconds(10));
+    BOOST_TEST(cell.upstreams.get_start_count() == 1U);
+    cell.upstreams.set_partitioned(busy.id, false);
+    cell.is_polling = true;
+    cell.run_for(seconds(1));
+    BOOST_TEST((cell.get_state("job") == job_phase::done));
+    BOOST_TEST(cell.upstreams.get_start_count() == 1U);
+    check_no_violations(cell);
+}
+
 // A start order without a response may have been carried out; repeating it must not run the task twice.
 BOOST_AUTO_TEST_CASE(repeats_a_start_order_without_a_response) {
     cell_fixture cell(3);
