Write changed jobs in batches, so that ends are acknowledged after a bounded number of commits

Cause: ends were acknowledged only by a commit after which no job had changes left. A commit held nine jobs, ran every 115 ms and some 300 jobs changed meanwhile, so that moment hardly came. Until it did, every upstream with an unacknowledged end responded to polls at once and with a growing list: work that grows with the delay that it causes.

Fix: the jobs that have changed by now form a batch together with the ends applied so far. Several commits without a pause write it, the last one carries the ends; jobs that change meanwhile belong to the next batch. A commit is filled by the entries that its jobs need (one for progress, two or three for an ended job) instead of nine jobs.

--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -20,8 +20,8 @@
 
 // Progress that arrives within this interval is written in one transaction.
 constexpr milliseconds commit_interval{40};
-// A final state takes up to three entries: the progress, the removal of the job and that of its cancellation.
-constexpr std::size_t max_jobs_per_commit = (max_transaction_entries - 3) / 3;
+// The conditions on the cell and on the last commit, and the record of this commit.
+constexpr std::size_t own_entries = 3;
 
 }  // namespace
 
@@ -50,7 +50,7 @@
         {
             std::lock_guard lock(mutex_);
             if (scheduler_.has_commit_work()) {
-                commit = scheduler_.collect_commit(max_jobs_per_commit, get_unix_ms());
+                commit = scheduler_.collect_commit(max_transaction_entries - own_entries, get_unix_ms());
             }
         }
         if (commit.is_empty()) {
@@ -58,6 +58,12 @@
             continue;
         }
         const bool is_written = co_await write_commit(commit);
+        {
+            std::lock_guard lock(mutex_);
+            if (is_written && scheduler_.has_unfinished_batch()) {
+                continue;
+            }
+        }
         const auto now = std::chrono::steady_clock::now();
         co_await wait_until(now + (is_written ? commit_interval : store_retry_delay));
     }
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -188,25 +188,36 @@
     return expired;
 }
 
-progress_commit cell_scheduler::collect_commit(std::size_t max_jobs, std::int64_t now_unix_ms) {
-    progress_commit commit;
-    while (!dirty_jobs_.empty() && commit.jobs.size() < max_jobs) {
-        const auto id = *dirty_jobs_.begin();
-        dirty_jobs_.erase(dirty_jobs_.begin());
-        if (const auto* job = find_job(id)) {
-            commit.jobs.push_back({id, job->make_progress(now_unix_ms)});
-        }
-    }
-    // Ends may be acknowledged only once the progress of every job that they changed is written.
-    if (!dirty_jobs_.empty()) {
-        return commit;
-    }
+void cell_scheduler::begin_commit_batch() {
+    commit_batch_.swap(dirty_jobs_);
     has_uncommitted_ends_ = false;
+    batch_ends_.clear();
     for (const auto& [id, upstream] : upstreams_) {
         if (upstream.applied_end > upstream.durable_end) {
-            commit.ends[id] = {upstream.boot_unix_ms, upstream.applied_end};
+            batch_ends_[id] = {upstream.boot_unix_ms, upstream.applied_end};
+        }
+    }
+}
+
+progress_commit cell_scheduler::collect_commit(std::size_t max_entries, std::int64_t now_unix_ms) {
+    if (commit_batch_.empty()) {
+        begin_commit_batch();
+    }
+    progress_commit commit;
+    std::size_t entries = 0;
+    while (!commit_batch_.empty()) {
+        const auto first = commit_batch_.begin();
+        if (const auto* job = find_job(*first)) {
+            auto progress = job->make_progress(now_unix_ms);
+            entries += progress_commit::count_entries(progress.state);
+            if (entries > max_entries) {
+                return commit;
+            }
+            commit.jobs.push_back({*first, std::move(progress)});
         }
+        commit_batch_.erase(first);
     }
+    commit.ends.swap(batch_ends_);
     return commit;
 }
 
@@ -238,8 +249,12 @@
 }
 
 void cell_scheduler::reject_commit(const progress_commit& commit) {
+    // The jobs stay in their batch, since the ends of the batch may be acknowledged only after them.
     for (const auto& entry : commit.jobs) {
-        dirty_jobs_.insert(entry.job);
+        commit_batch_.insert(entry.job);
+    }
+    if (!commit.ends.empty()) {
+        batch_ends_ = commit.ends;
     }
     has_uncommitted_ends_ = true;
 }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -52,6 +52,12 @@
         bool operator==(const end_mark&) const = default;
     };
 
+    // Entries that the progress of a job takes in a transaction: the progress itself, the removal of an ended
+    // job and that of its cancellation.
+    static std::size_t count_entries(job_phase state) {
+        return state == job_phase::cancelled ? 3 : is_final(state) ? 2 : 1;
+    }
+
     std::vector<job_entry> jobs;
     std::map<upstream_id, end_mark> ends;
 
@@ -140,10 +146,17 @@
     // Decides starts, stops and CPU limits. may_start is false while ownership is not proven.
     cell_decisions decide(clock_reading clock, bool may_start);
 
-    bool has_commit_work() const { return !dirty_jobs_.empty() || has_uncommitted_ends_; }
-    progress_commit collect_commit(std::size_t max_jobs, std::int64_t now_unix_ms);
+    bool has_commit_work() const {
+        return !dirty_jobs_.empty() || !commit_batch_.empty() || has_uncommitted_ends_;
+    }
+    // Whether the batch that the last commit belongs to has more to write.
+    bool has_unfinished_batch() const { return !commit_batch_.empty(); }
+    // Returns progress that takes at most this many entries of a transaction. All jobs that have changed by
+    // now form one batch, which several commits write; the last of them carries the ends. Jobs that change
+    // meanwhile belong to the next batch, so ends are acknowledged after a bounded number of commits.
+    progress_commit collect_commit(std::size_t max_entries, std::int64_t now_unix_ms);
     void confirm_commit(const progress_commit& commit);
-    // Queues the jobs of a commit that was not written for the next one.
+    // Queues the contents of a commit that was not written for the next one.
     void reject_commit(const progress_commit& commit);
 
     // An upstream has received a higher fencing token, so another process owns the cell.
@@ -216,6 +229,7 @@
     std::uint32_t get_max_attempts(const job_record& job) const;
     std::int32_t get_priority(const job_record& job) const;
     void update_waiting(const job_record& job);
+    void begin_commit_batch();
 
     // Reports and responses (cell_reports.cpp)
     void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, time_point now);
@@ -312,8 +326,11 @@
     std::set<job_id> waiting_jobs_;
     // Scheduled jobs with occurrences that are not due yet.
     std::set<job_id> scheduled_jobs_;
-    // Jobs whose progress has changed since their last commit.
+    // Jobs whose progress has changed since their last commit or since the current batch began.
     std::set<job_id> dirty_jobs_;
+    // Jobs of the current batch that are not written yet, and the ends that are durable once all of them are.
+    std::set<job_id> commit_batch_;
+    std::map<upstream_id, progress_commit::end_mark> batch_ends_;
     std::map<step_ref, step_tickets> tickets_;
     // Moving average of the work per job, by queue; see rank_job.
     std::map<std::string, double> mean_work_;
