Wake only the calls that wait for a connection to the same address

Fix: each address has its own signal. No change of behaviour; covered by the tests of the HTTP client and of upstreams.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -75,6 +75,9 @@
 struct http_client::address_pool {
     std::list<std::unique_ptr<pooled_connection>> idle;
     std::size_t in_use = 0;
+    // Calls that wait for a connection to this address. One signal for all addresses would wake every waiting
+    // call of the process whenever any call ends.
+    std::shared_ptr<async_signal> released = std::make_shared<async_signal>();
 };
 
 http_client::http_client(asio::io_context& context, std::size_t max_connections_per_address)
@@ -100,10 +103,13 @@
 awaitable<absl::StatusOr<std::unique_ptr<http_client::pooled_connection>>> http_client::acquire(
     std::string address, time_point deadline, connection_choice choice) {
     while (true) {
-        const auto seen = released_.get_count();
+        std::shared_ptr<async_signal> released;
+        std::uint64_t seen = 0;
         {
             std::lock_guard lock(mutex_);
             auto& pool = pools_[address];
+            released = pool.released;
+            seen = released->get_count();
             drop_old_connections(pool);
             if (choice == connection_choice::reused && pool.idle.empty()) {
                 co_return make_error(error_kind::upstream_unreachable,
@@ -119,25 +125,27 @@
                 co_return connection;
             }
         }
-        if (!co_await released_.wait(seen, deadline)) {
-            co_return make_error(error_kind::upstream_unreachable, "all " + std::to_string(max_connections_) +
-                                                                       " connections to " + address +
-                                                                       " were in use until the deadline");
+        if (!co_await released->wait(seen, deadline)) {
+            co_return make_error(error_kind::upstream_unreachable,
+                                 "all " + std::to_string(max_connections_) + " connections to " + address +
+                                     " were in use until the deadline");
         }
     }
 }
 
 void http_client::release(const std::string& address, std::unique_ptr<pooled_connection> connection) {
+    std::shared_ptr<async_signal> released;
     {
         std::lock_guard lock(mutex_);
         auto& pool = pools_[address];
+        released = pool.released;
         --pool.in_use;
         if (connection && connection->is_open) {
             connection->idle_since = std::chrono::steady_clock::now();
             pool.idle.push_back(std::move(connection));
         }
     }
-    released_.notify_all();
+    released->notify_all();
 }
 
 awaitable<absl::StatusOr<http_response>> http_client::fetch(std::string address, http_request request,
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -65,7 +65,6 @@
     asio::io_context& context_;
     const std::size_t max_connections_;
     ordered_mutex mutex_{lock_rank::connections};
-    async_signal released_;
     std::map<std::string, address_pool> pools_;
 };
 
