Reserve the read buffer of a client connection for the body that is announced

Cause, part of the overload of the owner: Beast reads no more at a time than the buffer has room for, 512 bytes in an empty one, so a body of 100 KB took some 200 turns of a busy event loop. A watch of jobs took about 55 ms per event, each covered the time that the one before had taken, and the delay doubled until the store's history of 20 s was exceeded and everything was listed again.

Fix: 4 KB for the header and most bodies, and as much as the header announces, up to 64 KB, before the body is read.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -19,6 +19,10 @@
 constexpr std::size_t max_response_bytes = 64U << 20U;
 // A connection that was idle for longer is replaced: a middlebox may have dropped it without closing it.
 constexpr std::chrono::seconds max_idle{20};
+// A read takes no more bytes than the buffer has room for, and each read costs a turn of the event loop. The
+// first amount holds most responses with their header, the second bounds the buffer for long bodies.
+constexpr std::size_t initial_buffer_bytes = 4U << 10U;
+constexpr std::size_t max_buffer_bytes = 64U << 10U;
 
 std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
     const auto colon = address.rfind(':');
@@ -64,7 +68,9 @@
 }  // namespace
 
 struct http_client::pooled_connection {
-    explicit pooled_connection(asio::io_context& context) : stream(asio::make_strand(context)) {}
+    explicit pooled_connection(asio::io_context& context) : stream(asio::make_strand(context)) {
+        buffer.reserve(initial_buffer_bytes);
+    }
 
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
@@ -197,6 +203,13 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_response_bytes);
     if (!error) {
+        co_await http::async_read_header(stream, connection.buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!error && !parser.is_done()) {
+        const auto missing = parser.content_length_remaining().value_or(max_buffer_bytes);
+        connection.buffer.reserve(
+            std::min(connection.buffer.size() + static_cast<std::size_t>(missing), max_buffer_bytes));
         co_await http::async_read(stream, connection.buffer, parser,
                                   asio::redirect_error(asio::use_awaitable, error));
     }
