Tell calls that this process delayed from calls that the other side did not answer

Cause: the deadline of a connection covered one operation and not the exchange, and any call that ended after it counted as silence of the other side, also when the request was never written or the response lay unread in the socket.

Fix: one timer bounds the whole exchange. When it fires, the client looks at what the other side has done. If the connection is established but the request not written, or if bytes of the response have arrived, the delay is this process's own, and the error is call_delayed.

The store clients use what the error says about the effect of a call instead of one error kind.

--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -22,7 +22,8 @@
 
 // Sends HTTP/1.1 requests over persistent connections, with a maximum number of connections per address. A
 // connection that fails or exceeds a deadline is closed and never reused, so an unresponsive connection
-// affects only one call.
+// affects only one call. A response that has begun to arrive when the deadline passes is still read for a
+// short while, since a busy process would otherwise discard responses and send the same requests again.
 class http_client {
 public:
     // Returns whether a response belongs to the request, and not to another one.
@@ -35,8 +36,10 @@
     http_client& operator=(const http_client&) = delete;
 
     // Sends the request to "address:port". Errors: upstream_unreachable (known not to have been sent),
-    // upstream_lost (may have been executed). Waits for a free connection until the deadline.
-    // A request whose connection is not ready before write_before is not sent (upstream_unreachable). A
+    // upstream_lost (may have been executed), call_delayed (this process was too slow, so the error says
+    // nothing about the other side). Waits for a free connection until the deadline.
+    // A request whose connection is not ready before write_before is not sent (call_delayed if the connection
+    // was open, and upstream_unreachable if it could not be opened). A
     // response that fails is_expected is discarded and its connection is closed (upstream_lost).
     awaitable<absl::StatusOr<http_response>> fetch(std::string address, http_request request,
                                                    time_point deadline,
@@ -54,6 +57,9 @@
     awaitable<absl::StatusOr<std::unique_ptr<pooled_connection>>> acquire(std::string address,
                                                                           time_point deadline,
                                                                           connection_choice choice);
+    // Ends the current operation of an exchange when its deadline has passed.
+    class exchange_timer;
+
     static void drop_old_connections(address_pool& pool);
     static awaitable<absl::StatusOr<http_response>> exchange(pooled_connection& connection,
                                                              asio::ip::tcp::endpoint endpoint,
--- a/src/connection/store_client.cpp
+++ b/src/connection/store_client.cpp
@@ -40,7 +40,7 @@
 absl::Status make_transport_error(const absl::Status& failure, call_effect effect) {
     const auto text = "store call failed: " + std::string(failure.message());
     const bool may_have_effect =
-        effect == call_effect::write && get_error_kind(failure) != error_kind::upstream_unreachable;
+        effect == call_effect::write && get_run_knowledge(failure) != run_knowledge::not_run;
     return make_error(may_have_effect ? error_kind::store_outcome_unknown : error_kind::store_unavailable,
                       text);
 }
--- a/src/process/error_kind.cpp
+++ b/src/process/error_kind.cpp
@@ -64,6 +64,8 @@
                   "no connection to the upstream could be opened"},
     error_mapping{error_kind::upstream_lost, "upstream_lost", 502, may_have_run, 500, 10,
                   "the connection to the upstream broke before the response arrived"},
+    error_mapping{error_kind::call_delayed, "call_delayed", 503, may_have_run, 500, 10,
+                  "this process was too slow to send the request or to read the response"},
     error_mapping{error_kind::peer_unreachable, "peer_unreachable", 503, not_run, 500, 11,
                   "no connection to the peer could be opened"},
     error_mapping{error_kind::peer_lost, "peer_lost", 502, may_have_run, 500, 11,
--- a/src/process/error_kind.hpp
+++ b/src/process/error_kind.hpp
@@ -39,6 +39,7 @@
     upstream_failed,
     upstream_unreachable,
     upstream_lost,
+    call_delayed,
     peer_unreachable,
     peer_lost,
     bad_configuration,
--- a/src/process/upstream_order.cpp
+++ b/src/process/upstream_order.cpp
@@ -26,6 +26,8 @@
             return "not_sent";
         case order_result::unknown:
             return "unknown";
+        case order_result::delayed:
+            return "delayed";
     }
     return "invalid";
 }
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -63,6 +63,9 @@
     not_sent,
     // The order may have taken effect, or may do so later.
     unknown,
+    // This process was too slow to send a poll or to read the response, so the outcome says nothing about the
+    // upstream.
+    delayed,
 };
 
 std::string_view get_name(order_result result);
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -211,11 +211,14 @@
                 scheduler_.apply_report(id, response.report, clock);
             } else if (response.result == order_result::refused_other_incarnation) {
                 scheduler_.end_incarnation(id, clock.now);
+            } else if (response.result == order_result::delayed) {
+                load_.add_late_poll();
             } else {
                 scheduler_.mark_unresponsive(id, started_at);
                 load_.add_silent_poll();
             }
-            if (upstream != nullptr && was_unresponsive == is_ok) {
+            const bool is_conclusive = response.result != order_result::delayed;
+            if (upstream != nullptr && is_conclusive && was_unresponsive == is_ok) {
                 LOG(INFO) << "event=" << (is_ok ? "upstream_answers" : "upstream_silent")
                           << " upstream=" << id.get() << " result=" << get_name(response.result);
             }
--- a/src/request/request_service.cpp
+++ b/src/request/request_service.cpp
@@ -34,6 +34,7 @@
         case error_kind::upstream_leaving:
         case error_kind::upstream_too_late:
         case error_kind::upstream_unreachable:
+        case error_kind::call_delayed:
         case error_kind::peer_unreachable:
         case error_kind::shutting_down:
         case error_kind::overloaded:
--- a/src/request/retry_policy.cpp
+++ b/src/request/retry_policy.cpp
@@ -15,6 +15,7 @@
         case error_kind::upstream_failed:
         case error_kind::upstream_unreachable:
         case error_kind::upstream_lost:
+        case error_kind::call_delayed:
         case error_kind::peer_unreachable:
         case error_kind::peer_lost:
         case error_kind::not_ready:
