Start no more tasks than the owner can send orders for

Callers saw cancelled jobs run on (UNASKED) and jobs served late.

Tasks that count as started cannot be cancelled cheaply and have lost their place in the queue.

Fix: at most 256 orders wait for a response. Other tasks stay in the queue, in order, and can still be cancelled. The pause after a long decision may grow to 150 ms, so decisions take at most a sixth of the time.

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -23,8 +23,11 @@
 // decisions are followed by longer pauses: pause_to_work_ratio times the duration of the decision, up to the
 // maximum.
 constexpr milliseconds decision_interval{20};
-constexpr milliseconds max_decision_interval{60};
+constexpr milliseconds max_decision_interval{150};
 constexpr int pause_to_work_ratio = 5;
+// Starts wait in the queue while this many orders have no response yet. Responses of healthy upstreams take a
+// few milliseconds, also between regions, so this allows thousands of starts a second.
+constexpr std::uint64_t max_orders_in_flight = 256;
 // Interval at which deadlines are checked when nothing else changes.
 constexpr milliseconds idle_interval{100};
 
@@ -341,7 +344,9 @@
         std::vector<std::string> addresses;
         {
             std::lock_guard lock(mutex_);
-            decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_);
+            const auto in_flight = std::min(load_.get_orders_in_flight(), max_orders_in_flight);
+            decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_,
+                                          max_orders_in_flight - in_flight);
             for (const auto& order : decisions.orders) {
                 const auto& id =
                     std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -76,7 +76,7 @@
 
 }  // namespace
 
-cell_decisions cell_scheduler::decide(clock_reading clock, bool may_start) {
+cell_decisions cell_scheduler::decide(clock_reading clock, bool may_start, std::size_t max_orders) {
     cell_decisions decisions;
     if (is_fenced_) {
         return decisions;
@@ -107,7 +107,11 @@
     unplaced_.clear();
     candidates_at_ = time_point();
     const bool is_resolved = is_takeover_resolved(now);
+    max_orders_ = max_orders;
     for (auto* job : sort_waiting_jobs(now)) {
+        if (decisions.orders.size() >= max_orders_) {
+            break;
+        }
         if (job->is_inherited && !is_resolved) {
             continue;
         }
@@ -260,6 +264,9 @@
         if (task.phase != task_phase::waiting || now < task.not_before) {
             continue;
         }
+        if (decisions.orders.size() >= max_orders_) {
+            return;
+        }
         const auto chosen = choose_upstream(job, ref, task, now);
         if (!chosen) {
             return;
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -143,8 +144,11 @@
                       const std::vector<std::pair<upstream_id, std::string>>& tickets,
                       time_point valid_until);
 
-    // Decides starts, stops and CPU limits. may_start is false while ownership is not proven.
-    cell_decisions decide(clock_reading clock, bool may_start);
+    // Decides starts, stops and CPU limits. may_start is false while ownership is not proven. No task starts
+    // once the decision has max_orders orders: tasks that could not be sent for lack of processor time stay
+    // in the queue, where they keep their order and can still be cancelled.
+    cell_decisions decide(clock_reading clock, bool may_start,
+                          std::size_t max_orders = std::numeric_limits<std::size_t>::max());
 
     bool has_commit_work() const {
         return !dirty_jobs_.empty() || !commit_batch_.empty() || has_uncommitted_ends_;
@@ -340,6 +344,7 @@
     std::vector<upstream_order> queued_orders_;
     std::vector<unplaced_size> unplaced_;
     // Valid within one decision.
+    std::size_t max_orders_ = 0;
     std::vector<candidate> candidates_;
     step_ref candidates_step_;
     time_point candidates_at_;
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -199,6 +199,17 @@
     BOOST_TEST(written.size() == 12U);
 }
 
+// Guards against start orders that wait for processor time behind thousands of others: those that do not fit
+// are neither started nor counted as started.
+BOOST_AUTO_TEST_CASE(starts_no_more_tasks_than_orders_can_be_sent) {
+    cell_fixture cell(4);
+    cell.run_for(milliseconds(100));
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(30)}));
+    const auto decisions = cell.scheduler->decide(cell.read_clock(), true, 5);
+    BOOST_TEST(decisions.orders.size() == 5U);
+    BOOST_TEST(cell.scheduler->get_run_count() == 5U);
+}
+
 // Guards against two completed runs of one task: the first run of a task turns out to be done while the
 // second runs, and the second goes on to its end.
 BOOST_AUTO_TEST_CASE(stops_the_second_run_of_a_task_that_was_done) {
