Poll upstreams less often while the owner's timers run late

Fix: a timer every 50 ms measures how late this process is. While it is late by 40 ms or more, the pause between two polls of the same upstream grows up to 0.9 s, which still renews the shortest lease several times; it shrinks again when timers are on time.

--- /dev/null
+++ b/src/process/work_pacer.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <chrono>
+
+#include "process/clock.hpp"
+
+namespace jacinthvane {
+
+// Spaces out repeated work of a process that cannot keep up. Late timers show that more work is ready than
+// the processor can carry, whatever its size; the pause between two polls of one upstream then grows until
+// timers are on time again. Without it, a slow process polls as often as a fast one, and everything else
+// waits behind the polls. Not safe for concurrent use.
+class work_pacer {
+public:
+    // A timer whose deadline was due ran at now.
+    void add_timer(time_point due, time_point now);
+    // Returns the least time from the start of a poll to the start of the next one of the same upstream.
+    std::chrono::milliseconds get_pause() const { return pause_; }
+
+    bool operator==(const work_pacer&) const = default;
+
+private:
+    std::chrono::milliseconds pause_{0};
+    time_point next_increase_;
+};
+
+}  // namespace jacinthvane
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -424,7 +424,7 @@
         std::string load;
         {
             std::lock_guard lock(mutex_);
-            load = load_.take_fields();
+            load = load_.take_fields() + " poll_pause_ms=" + std::to_string(pacer_.get_pause().count());
             cell = scheduler_.get_summary(std::chrono::steady_clock::now());
         }
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
@@ -447,6 +447,7 @@
         std::lock_guard lock(mutex_);
         const auto now = std::chrono::steady_clock::now();
         load_.add_timer(due, now);
+        pacer_.add_timer(due, now);
     }
 }
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -18,6 +18,7 @@
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
 #include "process/owner_load.hpp"
+#include "process/work_pacer.hpp"
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -120,6 +121,7 @@
     // Guarded by mutex_.
     cell_scheduler scheduler_;
     owner_load load_;
+    work_pacer pacer_;
     std::set<upstream_id> polled_upstreams_;
     bool is_over_ = false;
     bool is_loaded_ = false;
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -170,7 +170,16 @@
     constexpr milliseconds commit_wait{250};
     milliseconds failure_delay{50};
     constexpr milliseconds max_failure_delay{400};
+    auto last_poll = time_point();
     while (true) {
+        time_point next_poll;
+        {
+            std::lock_guard lock(mutex_);
+            next_poll = last_poll + pacer_.get_pause();
+        }
+        if (next_poll > std::chrono::steady_clock::now()) {
+            co_await wait_until(next_poll);
+        }
         const auto seen_commits = committed_.get_count();
         poll_order order;
         const auto address = get_address(id);
@@ -197,6 +206,7 @@
                                          is_ownership_proven());
         }
         const auto started_at = std::chrono::steady_clock::now();
+        last_poll = started_at;
         const auto deadline = started_at + milliseconds(order.wait_ms) + margin;
         const auto response = co_await ports_.upstreams.poll(address, order, claim_.row.token, deadline);
         const auto clock = read_clock();
