Let VMs with little processor time wait before they take the cell

Fix: the part is computed in one division, and a VM with less than a quarter of a processor waits 4 ms more for each missing thousandth, 0.5 s for 0.12 cores. It still takes the cell if no stronger VM does.

--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -32,7 +32,10 @@
 // Parts of the delay before a process tries to take the cell: processes with a low store latency and more
 // processors try first, and a jitter separates equal ones.
 constexpr std::int64_t store_latency_factor = 6;
-constexpr std::int64_t low_cpu_delay_ms = 20;
+constexpr std::int64_t processor_delay_ms_milli = 5000;
+// A VM with fewer processors can hardly carry a cell, so it waits until any stronger one has had its turn.
+constexpr std::int64_t strong_processors_milli = 250;
+constexpr std::int64_t weak_delay_ms_per_milli = 4;
 constexpr std::int64_t max_jitter_ms = 40;
 constexpr milliseconds max_contest_delay{800};
 
@@ -240,10 +243,12 @@
 
 milliseconds cell_member::get_contest_delay() const {
     std::lock_guard lock(mutex_);
-    const auto inverse_processors = 1000 / std::max<std::int64_t>(settings_.processors_milli, 10);
+    const auto processors_milli = std::max<std::int64_t>(settings_.processors_milli, 10);
+    const auto missing_milli = std::max<std::int64_t>(strong_processors_milli - processors_milli, 0);
     const auto jitter_ms = static_cast<std::int64_t>(get_stable_hash(process_name_) % max_jitter_ms);
     const milliseconds delay(store_delay_.count() * store_latency_factor +
-                             inverse_processors * low_cpu_delay_ms / 4 + jitter_ms);
+                             processor_delay_ms_milli / processors_milli +
+                             missing_milli * weak_delay_ms_per_milli + jitter_ms);
     return std::min(delay, max_contest_delay);
 }
 
