--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -165,7 +165,13 @@
 BOOST_AUTO_TEST_CASE(refuses_lists_with_unreadable_rows) {
     for (const auto* body :
          {R"({"ClockMs":1,"Running":[["x",1,"",1]],"Ended":[]})", R"({"ClockMs":1,"Running":[]})",
-          R"({"ClockMs":1,"Running":[],"Ended":[[1,"a.0.0.0",1,"vanished",""]]})"}) {
+          R"({"ClockMs":1,"Running":[],"Ended":[[1,"a.0.0.0",1,"vanished",""]]})",
+          R"({"ClockMs":1,"Running":[[["a.0.0.0"],1,"",1]],"Ended":[]})",
+          R"({"ClockMs":1,"Running":[{"a.0.0.0":1}],"Ended":[]})",
+          R"({"ClockMs":1,"Running":[7],"Ended":[]})", R"({"ClockMs":1,"Running":{},"Ended":[]})",
+          R"([[["a.0.0.0",1,"",1]]])", "7", "", R"({"ClockMs":1,"Running":[["a.0.0.0",-1,"",1]],"Ended":[]})",
+          R"({"Other":{"Running":[],"Ended":[]},"ClockMs":1})",
+          R"({"ClockMs":1,"Running":[["a.0.0.0",1,"",1]],"Ended":[])"}) {
         const auto decoded_response = platform::decode_poll_response(make_response(200, body));
         BOOST_TEST((decoded_response.result == order_result::unknown));
     }
