Compute the gain of a best-effort task once for each upstream and decision

Callers saw too little served (SHORT).

Cause: each decision computed the CPU limits of every upstream three times for each step and upstream: for eligibility, for the cost, and each time before and after the added task. Decisions took most of the owner's processor.

Fix: what does not depend on the task (budgets, tasks, planned use) is computed once for each upstream and decision, until a run is added there, and the gain found for eligibility is used for the cost as well.

--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -141,17 +141,28 @@
     return budgets;
 }
 
+const cell_scheduler::best_effort_view& cell_scheduler::get_best_effort_view(const upstream_ledger& upstream,
+                                                                             time_point now) {
+    const auto [found, is_new] = best_effort_views_.try_emplace(&upstream);
+    auto& view = found->second;
+    if (is_new) {
+        view.budgets = get_serving_budgets(upstream, now + placement_horizon);
+        view.tasks = get_best_effort_tasks(upstream);
+        view.free_share = get_free_share(upstream);
+        const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, view.tasks, view.free_share);
+        view.planned_use = get_planned_use(view.tasks, cpu_limits, view.free_share);
+    }
+    return view;
+}
+
 double cell_scheduler::get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
-                                            time_point now) const {
-    const auto budgets = get_serving_budgets(upstream, now + placement_horizon);
-    const double free = get_free_share(upstream);
-    auto best_effort_tasks = get_best_effort_tasks(upstream);
-    const double before = get_planned_use(
-        best_effort_tasks, plan_cpu_limits(tail_model_, budgets, best_effort_tasks, free), free);
-    best_effort_tasks.push_back(added);
-    const double after = get_planned_use(
-        best_effort_tasks, plan_cpu_limits(tail_model_, budgets, best_effort_tasks, free), free);
-    return (after - before) / std::max(added.share, 1e-6);
+                                            time_point now) {
+    const auto& view = get_best_effort_view(upstream, now);
+    auto tasks = view.tasks;
+    tasks.push_back(added);
+    const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, tasks, view.free_share);
+    const double planned_use = get_planned_use(tasks, cpu_limits, view.free_share);
+    return (planned_use - view.planned_use) / std::max(added.share, 1e-6);
 }
 
 void cell_scheduler::update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now) {
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -106,6 +106,7 @@
     }
     unplaced_.clear();
     candidates_at_ = time_point();
+    best_effort_views_.clear();
     const bool is_resolved = is_takeover_resolved(now);
     max_orders_ = max_orders;
     for (auto* job : sort_waiting_jobs(now)) {
@@ -305,11 +306,13 @@
         reservation.committed = size;
         const task_ref task{ref.job, ref.occurrence, ref.step, index};
         chosen->upstream->add_run(task, run, reservation);
+        best_effort_views_.erase(chosen->upstream);
         reserved.emplace_back(chosen->upstream, task);
         placements.push_back(*chosen);
     }
     for (const auto& [upstream, task] : reserved) {
         upstream->remove_run(task, run);
+        best_effort_views_.erase(upstream);
     }
     candidates_at_ = time_point();
     if (placements.size() < step.tasks.size()) {
@@ -329,18 +332,18 @@
         candidates_at_ = now;
         candidates_.clear();
         for (auto& [id, upstream] : upstreams_) {
-            candidates_.push_back({&upstream, true, false, 0});
+            candidate option;
+            option.upstream = &upstream;
+            candidates_.push_back(option);
         }
     }
     // A placement changes only one upstream, so the costs of the others stay valid for the next task of the
     // step.
     const auto service = get_service(job);
-    const auto& spec = job.job->spec.steps[ref.step];
     for (auto& option : candidates_) {
         if (option.is_stale) {
             option.is_stale = false;
-            option.is_eligible = is_eligible(*option.upstream, job, ref, service, now);
-            option.cost = option.is_eligible ? get_cost(*option.upstream, spec, now) : 0;
+            evaluate(option, job, ref, service, now);
         }
     }
     return candidates_;
@@ -396,8 +399,29 @@
     return best;
 }
 
-bool cell_scheduler::is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& ref,
-                                 const std::string& service, time_point now) {
+void cell_scheduler::evaluate(candidate& option, const job_record& job, const step_ref& ref,
+                              const std::string& service, time_point now) {
+    const auto& upstream = *option.upstream;
+    const auto& spec = job.job->spec.steps[ref.step];
+    option.is_eligible = has_room_for(upstream, job, ref, service, now);
+    if (!option.is_eligible) {
+        return;
+    }
+    if (spec.is_best_effort) {
+        const auto use = get_best_effort_use(upstream, spec);
+        option.is_eligible = may_place_best_effort_task(upstream, use, now);
+        if (!option.is_eligible) {
+            return;
+        }
+        option.gain = get_best_effort_gain(upstream, use, now);
+        record_gain(use.image, option.gain, now);
+        option.is_eligible = option.gain >= get_min_gain(use.image, now);
+    }
+    option.cost = option.is_eligible ? get_cost(upstream, spec, option.gain) : 0;
+}
+
+bool cell_scheduler::has_room_for(const upstream_ledger& upstream, const job_record& job, const step_ref& ref,
+                                  const std::string& service, time_point now) const {
     const auto& spec = job.job->spec.steps[ref.step];
     const auto& entry = upstream.entry;
     const bool is_usable = upstream.is_listed && upstream.is_recorded && upstream.has_responded &&
@@ -411,19 +435,7 @@
     if (upstream.health.is_on_trial() && has_finite_runs(upstream)) {
         return false;
     }
-    if (spec.max_per_upstream > 0 && count_runs_of_step(upstream, ref) >= spec.max_per_upstream) {
-        return false;
-    }
-    if (!spec.is_best_effort) {
-        return true;
-    }
-    const auto use = get_best_effort_use(upstream, spec);
-    if (!may_place_best_effort_task(upstream, use, now)) {
-        return false;
-    }
-    const auto gain = get_best_effort_gain(upstream, use, now);
-    record_gain(use.image, gain, now);
-    return gain >= get_min_gain(use.image, now);
+    return spec.max_per_upstream == 0 || count_runs_of_step(upstream, ref) < spec.max_per_upstream;
 }
 
 double cell_scheduler::get_min_gain(image_index image, time_point now) {
@@ -450,7 +462,7 @@
     return {tail_model_.get_index(spec.image), size / static_cast<double>(processors)};
 }
 
-double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec, time_point now) {
+double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec, double gain) {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
     const auto scale = static_cast<double>(processors);
     double cost = failure_cost * upstream.health.get_failures();
@@ -458,7 +470,7 @@
         cost += remote_data_cost;
     }
     if (spec.is_best_effort) {
-        return cost + get_best_effort_cost(upstream, spec, now);
+        return cost + get_best_effort_cost(upstream, gain);
     }
     if (spec.target_tail_ms > 0) {
         return cost + get_serving_cost(upstream, spec);
@@ -467,14 +479,12 @@
     return cost + best_effort_share_cost * static_cast<double>(upstream.best_effort_milli) / scale;
 }
 
-double cell_scheduler::get_best_effort_cost(const upstream_ledger& upstream, const step_spec& spec,
-                                            time_point now) {
+double cell_scheduler::get_best_effort_cost(const upstream_ledger& upstream, double gain) const {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
     const auto scale = static_cast<double>(processors);
     const auto used =
         static_cast<double>(upstream.estimate_used_milli() + upstream.best_effort_milli) / scale;
-    return used + slow_best_effort_cost *
-                      (1.0 - get_best_effort_gain(upstream, get_best_effort_use(upstream, spec), now));
+    return used + slow_best_effort_cost * (1.0 - gain);
 }
 
 double cell_scheduler::get_serving_cost(const upstream_ledger& upstream, const step_spec& spec) {
@@ -511,6 +521,7 @@
     record.is_order_sent = true;
     record.started_at = now;
     chosen.upstream->add_run(ref, run, record);
+    best_effort_views_.erase(chosen.upstream);
     decisions.orders.emplace_back(make_start(*chosen.upstream, job, ref, run, chosen.ticket, now));
 }
 
@@ -545,12 +556,16 @@
     if (now + ticket_margin >= tickets.valid_until) {
         tickets.tickets.clear();
     }
-    const auto& spec = job.job->spec.steps[ref.step];
     const auto service = get_service(job);
     std::vector<std::pair<double, upstream_id>> candidates;
-    for (const auto& [id, upstream] : upstreams_) {
-        if (!tickets.requested.contains(id) && is_eligible(upstream, job, ref, service, now)) {
-            candidates.emplace_back(get_cost(upstream, spec, now), id);
+    for (auto& [id, upstream] : upstreams_) {
+        candidate option;
+        option.upstream = &upstream;
+        if (!tickets.requested.contains(id)) {
+            evaluate(option, job, ref, service, now);
+        }
+        if (option.is_eligible) {
+            candidates.emplace_back(option.cost, id);
         }
     }
     if (candidates.empty()) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -200,6 +200,17 @@
         bool is_stale = true;
         bool is_eligible = false;
         double cost = 0;
+        // Set for best-effort tasks only; see get_best_effort_gain.
+        double gain = 0;
+    };
+    // What the gain of a further best-effort task on an upstream is computed from. The same for all tasks, so
+    // one decision computes it once for each upstream.
+    struct best_effort_view {
+        std::vector<serving_budget> budgets;
+        std::vector<best_effort_use> tasks;
+        double free_share = 0;
+        // Planned use of the processors by the tasks that are there.
+        double planned_use = 0;
     };
     // The best gain that any upstream offered an image recently.
     struct best_gain {
@@ -277,7 +288,8 @@
     // Throughput that all best-effort tasks of the upstream together gain if this one is added, as a share of
     // its own throughput at full speed. Below 1 it is limited itself or slows down others.
     double get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
-                                time_point now) const;
+                                time_point now);
+    const best_effort_view& get_best_effort_view(const upstream_ledger& upstream, time_point now);
     // False while a latency target is exceeded on the upstream, except at first for best-effort tasks that do
     // not contribute to it.
     bool may_place_best_effort_task(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
@@ -298,16 +310,20 @@
     void place_gang(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
     std::optional<placement> choose_upstream(const job_record& job, const step_ref& step,
                                              const task_record& task, time_point now);
-    bool is_eligible(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
-                     const std::string& service, time_point now);
+    // Whether an upstream may run a task of the step and has room for it.
+    bool has_room_for(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
+                      const std::string& service, time_point now) const;
+    // Decides whether a task of the step may be placed on the upstream of the candidate, and at which cost.
+    void evaluate(candidate& option, const job_record& job, const step_ref& step, const std::string& service,
+                  time_point now);
     const std::vector<candidate>& get_candidates(const job_record& job, const step_ref& step, time_point now);
-    double get_cost(const upstream_ledger& upstream, const step_spec& spec, time_point now);
+    double get_cost(const upstream_ledger& upstream, const step_spec& spec, double gain);
     best_effort_use get_best_effort_use(const upstream_ledger& upstream, const step_spec& spec);
     // The lowest gain for which a best-effort task starts, so that it waits if better upstreams were offered
     // recently.
     double get_min_gain(image_index image, time_point now);
     void record_gain(image_index image, double gain, time_point now);
-    double get_best_effort_cost(const upstream_ledger& upstream, const step_spec& spec, time_point now);
+    double get_best_effort_cost(const upstream_ledger& upstream, double gain) const;
     double get_serving_cost(const upstream_ledger& upstream, const step_spec& spec);
     void start_task(job_record& job, const task_ref& task, const placement& chosen, std::uint64_t run,
                     time_point now, cell_decisions& decisions);
@@ -345,6 +361,7 @@
     std::vector<unplaced_size> unplaced_;
     // Valid within one decision.
     std::size_t max_orders_ = 0;
+    std::unordered_map<const upstream_ledger*, best_effort_view> best_effort_views_;
     std::vector<candidate> candidates_;
     step_ref candidates_step_;
     time_point candidates_at_;
