--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -9,6 +9,7 @@
 #include "experiment/journal_bench.hpp"
 #include "experiment/ledger_bench.hpp"
 #include "experiment/member_bench.hpp"
+#include "experiment/owner_bench.hpp"
 #include "experiment/policy_bench.hpp"
 
 namespace {
@@ -53,6 +54,21 @@
     return run_decision_bench(options.parse(argc, argv)["folder"].as<std::string>());
 }
 
+int run_owner_command(int argc, char** argv) {
+    cxxopts::Options options("jacinthvane_experiment owner",
+                             "Measures the processor time of a cell's owner against upstreams on loopback");
+    options.add_options()("upstreams", "Number of upstreams",
+                          cxxopts::value<std::size_t>()->default_value("490"))(
+        "long-running", "Number of long-running jobs", cxxopts::value<std::size_t>()->default_value("150"))(
+        "jobs", "Jobs submitted a second", cxxopts::value<std::size_t>()->default_value("30"))(
+        "seconds", "Duration", cxxopts::value<int>()->default_value("20"));
+    const auto parsed = options.parse(argc, argv);
+    return run_owner_bench({.upstreams = parsed["upstreams"].as<std::size_t>(),
+                            .long_running_jobs = parsed["long-running"].as<std::size_t>(),
+                            .jobs_per_second = parsed["jobs"].as<std::size_t>(),
+                            .seconds = parsed["seconds"].as<int>()});
+}
+
 std::vector<std::string> to_arguments(int argc, char** argv) {
     return {argv + 1, argv + argc};
 }
@@ -84,6 +100,7 @@
     {"ledger", run_ledger_command, "start operations, task lists and memory of the ledger at four sizes"},
     {"member", run_member_command,
      "traffic, CPU time, memory and convergence rounds of the membership at four sizes"},
+    {"owner", run_owner_command, "CPU time of a cell's owner against upstreams on loopback"},
 };
 
 void print_commands() {
--- /dev/null
+++ b/standin/platform_upstreams.cpp
@@ -0,0 +1,190 @@
+#include "standin/platform_upstreams.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <map>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "connection/async_signal.hpp"
+
+namespace jacinthvane::standin {
+
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::int64_t clock_start_ms = 1000;
+// Longest time for which a waiting list call overlooks a run that was started meanwhile.
+constexpr milliseconds wait_step{100};
+constexpr int conflict_status = 409;
+constexpr std::int64_t reported_tail_ms = 20;
+constexpr std::int64_t reported_processors_milli = 1500;
+
+http_response make_response(int status, const json& body) {
+    http_response response;
+    response.status = status;
+    response.headers["Content-Type"] = "application/json";
+    response.body = body.dump();
+    return response;
+}
+
+}  // namespace
+
+class platform_upstreams::simulated_upstream {
+public:
+    awaitable<http_response> handle(http_request request) {
+        const auto body = json::parse(request.body, nullptr, false);
+        end_finished_runs();
+        const auto token = body.value("Fence", std::uint64_t{0});
+        if (token < token_) {
+            co_return make_response(conflict_status, {{"ClockMs", read_clock()}, {"Reason", "fence"}});
+        }
+        token_ = token;
+        const auto until = body.value("UntilMs", std::int64_t{0});
+        lease_until_ = std::max(lease_until_, until);
+        const auto path = request.get_path();
+        if (path == "/-/run-start") {
+            start(body);
+        } else if (path == "/-/run-stop") {
+            end_run(body.value("Task", std::string()), "stopped");
+        } else if (path == "/-/hold") {
+            co_return co_await list(body);
+        }
+        co_return make_response(200, {{"ClockMs", read_clock()}});
+    }
+
+    std::uint64_t get_start_count() const { return starts_; }
+    std::uint64_t get_end_count() const { return ends_; }
+
+private:
+    struct simulated_run {
+        std::uint64_t number = 0;
+        // When the task is done; max for a task that runs until it is stopped.
+        time_point done_at;
+    };
+
+    std::int64_t read_clock() const {
+        const auto up = std::chrono::steady_clock::now() - booted_at_;
+        return clock_start_ms + std::chrono::duration_cast<milliseconds>(up).count();
+    }
+
+    void start(const json& body) {
+        const auto work_ms = std::atoll(body.value("Spec", std::string("0")).c_str());
+        const auto now = std::chrono::steady_clock::now();
+        const auto done_at = work_ms > 0 ? now + milliseconds(work_ms) : time_point::max();
+        const simulated_run run{body.value("RunId", std::uint64_t{0}), done_at};
+        starts_ += runs_.emplace(body.value("Task", std::string()), run).second ? 1 : 0;
+    }
+
+    void end_run(const std::string& task, const char* how) {
+        const auto found = runs_.find(task);
+        if (found == runs_.end()) {
+            return;
+        }
+        ended_.push_back(json::array({next_end_++, task, found->second.number, how, ""}));
+        runs_.erase(found);
+        ++ends_;
+    }
+
+    void end_finished_runs() {
+        const auto now = std::chrono::steady_clock::now();
+        const bool has_lapsed = !runs_.empty() && lease_until_ > 0 && read_clock() > lease_until_;
+        std::vector<std::string> finished;
+        for (const auto& [task, run] : runs_) {
+            if (has_lapsed || run.done_at <= now) {
+                finished.push_back(task);
+            }
+        }
+        for (const auto& task : finished) {
+            end_run(task, has_lapsed ? "lapsed" : "done");
+        }
+    }
+
+    awaitable<http_response> list(json body) {
+        const auto acknowledged = body.value("Acked", std::uint64_t{0});
+        std::erase_if(ended_, [&](const json& row) { return row[0].get<std::uint64_t>() <= acknowledged; });
+        const auto wait_ms = body.value("WaitMs", std::int64_t{0});
+        const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms);
+        while (ended_.empty() && std::chrono::steady_clock::now() < deadline) {
+            auto next = std::min(deadline, std::chrono::steady_clock::now() + wait_step);
+            for (const auto& [task, run] : runs_) {
+                next = std::min(next, run.done_at);
+            }
+            co_await wait_until(next);
+            end_finished_runs();
+        }
+        json running = json::array();
+        for (const auto& [task, run] : runs_) {
+            const bool is_serving = run.done_at == time_point::max();
+            running.push_back(json::array({task, run.number, "", is_serving ? 100 : 50,
+                                           is_serving ? reported_tail_ms : reported_processors_milli}));
+        }
+        co_return make_response(200, {{"ClockMs", read_clock()}, {"Running", running}, {"Ended", ended_}});
+    }
+
+    const time_point booted_at_ = std::chrono::steady_clock::now();
+    std::uint64_t token_ = 0;
+    std::int64_t lease_until_ = 0;
+    std::uint64_t next_end_ = 1;
+    std::map<std::string, simulated_run> runs_;
+    std::vector<json> ended_;
+    // Read by other threads.
+    std::atomic<std::uint64_t> starts_ = 0;
+    std::atomic<std::uint64_t> ends_ = 0;
+};
+
+platform_upstreams::platform_upstreams(asio::io_context& context, std::size_t count) : context_(context) {
+    for (std::size_t i = 0; i < count; ++i) {
+        upstreams_.push_back(std::make_shared<simulated_upstream>());
+    }
+}
+
+platform_upstreams::~platform_upstreams() = default;
+
+absl::StatusOr<std::vector<upstream_entry>> platform_upstreams::listen() {
+    constexpr std::size_t upstreams_per_rack = 20;
+    constexpr std::int64_t processors_milli = 16000;
+    constexpr std::int64_t memory_mb = 64000;
+    std::vector<upstream_entry> entries;
+    for (std::size_t i = 0; i < upstreams_.size(); ++i) {
+        const auto handle = [upstream = upstreams_[i]](http_request request) {
+            return upstream->handle(std::move(request));
+        };
+        servers_.push_back(std::make_unique<http_server>(context_, http_limits{}, handle));
+        if (auto status = servers_.back()->listen("127.0.0.1:0"); !status.ok()) {
+            return status;
+        }
+        upstream_entry entry;
+        entry.id = upstream_id("u" + std::to_string(i));
+        entry.service = "tree";
+        entry.address = servers_.back()->get_address();
+        entry.labels = {"a", "r" + std::to_string(i / upstreams_per_rack)};
+        entry.capacity = resource_vector(processors_milli, memory_mb, 0, 0);
+        entry.boot_unix_ms = 1;
+        entries.push_back(entry);
+    }
+    return entries;
+}
+
+std::uint64_t platform_upstreams::get_start_count() const {
+    std::uint64_t count = 0;
+    for (const auto& upstream : upstreams_) {
+        count += upstream->get_start_count();
+    }
+    return count;
+}
+
+std::uint64_t platform_upstreams::get_end_count() const {
+    std::uint64_t count = 0;
+    for (const auto& upstream : upstreams_) {
+        count += upstream->get_end_count();
+    }
+    return count;
+}
+
+}  // namespace jacinthvane::standin
