--- a/src/connection/upstream_client.cpp
+++ b/src/connection/upstream_client.cpp
@@ -260,9 +260,15 @@
                                                                 time_point deadline,
                                                                 time_point write_before) {
     const auto target = fleet_->find(upstream.upstream);
-    if (!target || std::chrono::steady_clock::now() >= std::min(write_before, deadline)) {
+    if (!target) {
         co_return make_unknown_upstream_error(upstream);
     }
+    if (std::chrono::steady_clock::now() >= std::min(write_before, deadline)) {
+        co_return make_error(
+            error_kind::call_delayed,
+            "the time limit passed before the start order could be sent to " + upstream.upstream.get(),
+            run_knowledge::not_run);
+    }
     std::function<void(const task_id&)> advance_to_now = [fleet = fleet_](const task_id& task) {
         fleet->advance_to_now(task);
     };
