Make decisions cheaper when many best-effort tasks wait

Cause, part of the overload of the owner: while 1,000 best-effort tasks of different images and sizes waited, a decision evaluated all 490 upstreams for each of them: state, list of runs, and a plan of CPU limits with its vectors.

Fix: a decision collects the upstreams on which any task may start once. Without contention for processors, the limit of an added task follows from sums that are kept for each upstream; only limits between "too low in any case" and 1 need a new plan. A counter tells whether an upstream has runs of unknown size. Placements stay the same: the new test compares the shortcut with the plan.

--- a/src/process/cpu_limit_plan.cpp
+++ b/src/process/cpu_limit_plan.cpp
@@ -18,18 +18,24 @@
     return total;
 }
 
+// Headroom that the best-effort tasks cost the latency-critical task at full speed.
+double get_interference(const tail_model& model, image_index serving,
+                        const std::vector<best_effort_use>& best_effort_tasks) {
+    double total = 0;
+    for (const auto& best_effort_task : best_effort_tasks) {
+        if (!has_negligible_interference(model, serving, best_effort_task)) {
+            total += model.get_weight(serving, best_effort_task.image) * best_effort_task.share;
+        }
+    }
+    return total;
+}
+
 // Lowers the CPU limits of all best-effort tasks that interfere with the latency-critical task by the same
 // factor, so that their total headroom cost stays within its budget.
 void limit_to_budget(const tail_model& model, const serving_budget& serving,
                      const std::vector<best_effort_use>& best_effort_tasks, double contention_factor,
                      std::vector<double>& cpu_limits) {
-    double total = 0;
-    for (const auto& best_effort_task : best_effort_tasks) {
-        if (!has_negligible_interference(model, serving.image, best_effort_task)) {
-            total += model.get_weight(serving.image, best_effort_task.image) * best_effort_task.share *
-                     contention_factor;
-        }
-    }
+    const double total = get_interference(model, serving.image, best_effort_tasks) * contention_factor;
     const double budget = std::max(serving.budget, 0.0);
     if (total <= budget) {
         return;
@@ -63,6 +69,34 @@
     return cpu_limits;
 }
 
+std::vector<serving_load> measure_interference(const tail_model& model,
+                                               const std::vector<serving_budget>& servings,
+                                               const std::vector<best_effort_use>& best_effort_tasks) {
+    std::vector<serving_load> loads;
+    loads.reserve(servings.size());
+    for (const auto& serving : servings) {
+        loads.push_back({serving, get_interference(model, serving.image, best_effort_tasks)});
+    }
+    return loads;
+}
+
+double get_added_cpu_limit(const tail_model& model, const std::vector<serving_load>& loads,
+                           const best_effort_use& added) {
+    double cpu_limit = 1.0;
+    for (const auto& load : loads) {
+        if (has_negligible_interference(model, load.serving.image, added)) {
+            continue;
+        }
+        const double total =
+            load.interference + model.get_weight(load.serving.image, added.image) * added.share;
+        const double budget = std::max(load.serving.budget, 0.0);
+        if (total > budget) {
+            cpu_limit = std::min(cpu_limit, budget / total);
+        }
+    }
+    return cpu_limit;
+}
+
 double get_planned_use(const std::vector<best_effort_use>& best_effort_tasks,
                        const std::vector<double>& cpu_limits, double free_share) {
     return std::min(get_total_share(best_effort_tasks, cpu_limits), std::max(free_share, 0.0));
--- a/src/process/cpu_limit_plan.hpp
+++ b/src/process/cpu_limit_plan.hpp
@@ -24,6 +24,25 @@
 std::vector<double> plan_cpu_limits(const tail_model& model, const std::vector<serving_budget>& servings,
                                     const std::vector<best_effort_use>& best_effort_tasks, double free_share);
 
+// A latency-critical task, and the headroom that the best-effort tasks on its upstream cost it at full speed,
+// without those of negligible interference.
+struct serving_load {
+    serving_budget serving;
+    double interference = 0;
+
+    bool operator==(const serving_load&) const = default;
+};
+
+std::vector<serving_load> measure_interference(const tail_model& model,
+                                               const std::vector<serving_budget>& servings,
+                                               const std::vector<best_effort_use>& best_effort_tasks);
+
+// Returns the CPU limit that plan_cpu_limits gives a best-effort task that is added, as long as all
+// best-effort tasks together request no more processors than are free. At a limit of 1, the limits of the
+// other tasks stay as they are. Much cheaper than a new plan.
+double get_added_cpu_limit(const tail_model& model, const std::vector<serving_load>& loads,
+                           const best_effort_use& added);
+
 // Returns the processors that the best-effort tasks use under these CPU limits, as a share of the upstream's
 // processors.
 double get_planned_use(const std::vector<best_effort_use>& best_effort_tasks,
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -32,6 +32,7 @@
 void upstream_ledger::add_run(const task_ref& task, std::uint64_t run, run_record record) {
     committed = committed + record.committed;
     best_effort_milli += record.best_effort_milli;
+    unknown_size_runs += record.is_size_unknown ? 1 : 0;
     runs.emplace(run_key{task, run}, record);
 }
 
@@ -42,6 +43,7 @@
     }
     committed = committed - found->second.committed;
     best_effort_milli -= found->second.best_effort_milli;
+    unknown_size_runs -= found->second.is_size_unknown ? 1 : 0;
     runs.erase(found);
 }
 
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -106,6 +107,8 @@
     std::map<run_key, run_record> runs;
     resource_vector committed;
     std::int64_t best_effort_milli = 0;
+    // Runs whose size is unknown; no other run may start while there is one.
+    std::size_t unknown_size_runs = 0;
     // Highest ratio of tail latency to target among its tasks, in thousandths.
     std::int64_t pressure_permille = 0;
     // Headroom that is reserved for latency-critical tasks in addition to that of the model, since a target
--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -148,7 +148,11 @@
     if (is_new) {
         view.budgets = get_serving_budgets(upstream, now + placement_horizon);
         view.tasks = get_best_effort_tasks(upstream);
+        view.loads = measure_interference(tail_model_, view.budgets, view.tasks);
         view.free_share = get_free_share(upstream);
+        for (const auto& task : view.tasks) {
+            view.requested_share += task.share;
+        }
         const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, view.tasks, view.free_share);
         view.planned_use = get_planned_use(view.tasks, cpu_limits, view.free_share);
     }
@@ -158,6 +162,13 @@
 double cell_scheduler::get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
                                             time_point now) {
     const auto& view = get_best_effort_view(upstream, now);
+    if (view.requested_share + added.share <= view.free_share) {
+        // The added task gains its own CPU limit, and others may lose some of theirs if that is below 1.
+        const double cpu_limit = get_added_cpu_limit(tail_model_, view.loads, added);
+        if (cpu_limit >= 1.0 || cpu_limit < min_useful_best_effort_gain) {
+            return cpu_limit;
+        }
+    }
     auto tasks = view.tasks;
     tasks.push_back(added);
     const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, tasks, view.free_share);
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -23,8 +23,6 @@
 constexpr double min_best_effort_gain = 0.9;
 // If no upstream offers that gain, this share of the best gain seen in the last seconds is sufficient.
 constexpr double min_share_of_best_gain = 0.9;
-// With a lower gain the task would mostly slow down those already running, so it waits instead.
-constexpr double min_useful_best_effort_gain = 0.85;
 // Time constant with which the best gain seen for an image decays.
 constexpr std::chrono::duration<double> best_gain_decay_time{4.0};
 // Runs with checkpoints on a leaving upstream are stopped this long before it is removed, so that their
@@ -62,11 +60,6 @@
                        [](const auto& entry) { return !entry.second.is_long_running; });
 }
 
-bool has_runs_of_unknown_size(const upstream_ledger& upstream) {
-    return std::any_of(upstream.runs.begin(), upstream.runs.end(),
-                       [](const auto& entry) { return entry.second.is_size_unknown; });
-}
-
 resource_vector get_committed_size(const step_spec& spec) {
     if (!spec.is_best_effort) {
         return spec.size;
@@ -107,6 +100,7 @@
     unplaced_.clear();
     candidates_at_ = time_point();
     best_effort_views_.clear();
+    collect_usable_upstreams(now);
     const bool is_resolved = is_takeover_resolved(now);
     max_orders_ = max_orders;
     for (auto* job : sort_waiting_jobs(now)) {
@@ -331,9 +325,9 @@
         candidates_step_ = ref;
         candidates_at_ = now;
         candidates_.clear();
-        for (auto& [id, upstream] : upstreams_) {
+        for (auto* upstream : usable_upstreams_) {
             candidate option;
-            option.upstream = &upstream;
+            option.upstream = upstream;
             candidates_.push_back(option);
         }
     }
@@ -403,7 +397,7 @@
                               const std::string& service, time_point now) {
     const auto& upstream = *option.upstream;
     const auto& spec = job.job->spec.steps[ref.step];
-    option.is_eligible = has_room_for(upstream, job, ref, service, now);
+    option.is_eligible = has_room_for(upstream, job, ref, service);
     if (!option.is_eligible) {
         return;
     }
@@ -420,16 +414,24 @@
     option.cost = option.is_eligible ? get_cost(upstream, spec, option.gain) : 0;
 }
 
+void cell_scheduler::collect_usable_upstreams(time_point now) {
+    usable_upstreams_.clear();
+    for (auto& [id, upstream] : upstreams_) {
+        if (upstream.is_listed && upstream.is_recorded && upstream.has_responded &&
+            !upstream.is_unresponsive && !upstream.entry.is_leaving && !upstream.health.is_blocked(now)) {
+            usable_upstreams_.push_back(&upstream);
+        }
+    }
+}
+
 bool cell_scheduler::has_room_for(const upstream_ledger& upstream, const job_record& job, const step_ref& ref,
-                                  const std::string& service, time_point now) const {
+                                  const std::string& service) const {
     const auto& spec = job.job->spec.steps[ref.step];
     const auto& entry = upstream.entry;
-    const bool is_usable = upstream.is_listed && upstream.is_recorded && upstream.has_responded &&
-                           !upstream.is_unresponsive && !entry.is_leaving && !upstream.health.is_blocked(now);
-    if (!is_usable || entry.service != service || !entry.has_label(spec.required_label)) {
+    if (entry.service != service || !entry.has_label(spec.required_label)) {
         return false;
     }
-    if (!get_committed_size(spec).is_within(upstream.get_room()) || has_runs_of_unknown_size(upstream)) {
+    if (!get_committed_size(spec).is_within(upstream.get_room()) || upstream.unknown_size_runs > 0) {
         return false;
     }
     if (upstream.health.is_on_trial() && has_finite_runs(upstream)) {
@@ -558,14 +560,14 @@
     }
     const auto service = get_service(job);
     std::vector<std::pair<double, upstream_id>> candidates;
-    for (auto& [id, upstream] : upstreams_) {
+    for (auto* upstream : usable_upstreams_) {
         candidate option;
-        option.upstream = &upstream;
-        if (!tickets.requested.contains(id)) {
+        option.upstream = upstream;
+        if (!tickets.requested.contains(upstream->entry.id)) {
             evaluate(option, job, ref, service, now);
         }
         if (option.is_eligible) {
-            candidates.emplace_back(option.cost, id);
+            candidates.emplace_back(option.cost, upstream->entry.id);
         }
     }
     if (candidates.empty()) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -203,12 +203,17 @@
         // Set for best-effort tasks only; see get_best_effort_gain.
         double gain = 0;
     };
+    // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
+    static constexpr double min_useful_best_effort_gain = 0.85;
     // What the gain of a further best-effort task on an upstream is computed from. The same for all tasks, so
     // one decision computes it once for each upstream.
     struct best_effort_view {
         std::vector<serving_budget> budgets;
+        std::vector<serving_load> loads;
         std::vector<best_effort_use> tasks;
         double free_share = 0;
+        // Processors that the tasks that are there request.
+        double requested_share = 0;
         // Planned use of the processors by the tasks that are there.
         double planned_use = 0;
     };
@@ -286,7 +291,8 @@
     // One entry for each latency-critical step on the upstream.
     std::vector<serving_budget> get_serving_budgets(const upstream_ledger& upstream, time_point until) const;
     // Throughput that all best-effort tasks of the upstream together gain if this one is added, as a share of
-    // its own throughput at full speed. Below 1 it is limited itself or slows down others.
+    // its own throughput at full speed. Below 1 it is limited itself or slows down others. Below
+    // min_useful_best_effort_gain the result is an upper bound.
     double get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
                                 time_point now);
     const best_effort_view& get_best_effort_view(const upstream_ledger& upstream, time_point now);
@@ -310,9 +316,11 @@
     void place_gang(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
     std::optional<placement> choose_upstream(const job_record& job, const step_ref& step,
                                              const task_record& task, time_point now);
-    // Whether an upstream may run a task of the step and has room for it.
+    // Collects the upstreams on which any task may start in this decision.
+    void collect_usable_upstreams(time_point now);
+    // Whether a usable upstream may run a task of the step and has room for it.
     bool has_room_for(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
-                      const std::string& service, time_point now) const;
+                      const std::string& service) const;
     // Decides whether a task of the step may be placed on the upstream of the candidate, and at which cost.
     void evaluate(candidate& option, const job_record& job, const step_ref& step, const std::string& service,
                   time_point now);
@@ -361,6 +369,7 @@
     std::vector<unplaced_size> unplaced_;
     // Valid within one decision.
     std::size_t max_orders_ = 0;
+    std::vector<upstream_ledger*> usable_upstreams_;
     std::unordered_map<const upstream_ledger*, best_effort_view> best_effort_views_;
     std::vector<candidate> candidates_;
     step_ref candidates_step_;
--- a/tests/cpu_limit_plan_test.cpp
+++ b/tests/cpu_limit_plan_test.cpp
@@ -1,7 +1,10 @@
 #include "process/cpu_limit_plan.hpp"
 
+#include <cmath>
 #include <cstdint>
 #include <numeric>
+#include <random>
+#include <string>
 
 #include <boost/test/unit_test.hpp>
 
@@ -78,4 +81,46 @@
                boost::test_tools::tolerance(1e-9));
 }
 
+// Guards against a shortcut that places tasks differently from the plan: without contention, the limit of an
+// added task is that of a new plan, and at a limit of 1 no other limit changes.
+BOOST_AUTO_TEST_CASE(limit_of_an_added_task_is_that_of_a_new_plan) {
+    constexpr std::size_t image_count = 6;
+    std::mt19937 random(20261205);
+    std::uniform_int_distribution<std::int64_t> weight_milli(-500, 4000);
+    std::uniform_real_distribution<double> budget(-0.2, 1.5);
+    std::uniform_real_distribution<double> share(0.02, 0.12);
+    std::uniform_int_distribution<image_index> image(0, image_count - 1);
+    int limited = 0;
+    for (int round = 0; round < 2000; ++round) {
+        tail_snapshot snapshot;
+        for (std::size_t i = 0; i < image_count; ++i) {
+            snapshot.images.push_back("image" + std::to_string(i));
+        }
+        for (std::size_t i = 0; i < image_count * image_count; ++i) {
+            snapshot.weights.push_back({weight_milli(random), 10});
+        }
+        tail_model model;
+        model.apply_snapshot(snapshot);
+        const std::vector<serving_budget> servings = {{image(random), budget(random)},
+                                                      {image(random), budget(random)}};
+        std::vector<best_effort_use> tasks;
+        for (int i = 0; i < 4; ++i) {
+            tasks.push_back({image(random), share(random)});
+        }
+        const auto before = plan_cpu_limits(model, servings, tasks, 1.0);
+        const best_effort_use added{image(random), share(random)};
+        const auto loads = measure_interference(model, servings, tasks);
+        const double cpu_limit = get_added_cpu_limit(model, loads, added);
+        tasks.push_back(added);
+        const auto after = plan_cpu_limits(model, servings, tasks, 1.0);
+        BOOST_TEST(after.back() == cpu_limit, boost::test_tools::tolerance(1e-9));
+        for (std::size_t i = 0; i < before.size(); ++i) {
+            BOOST_TEST(after[i] <= before[i] + 1e-9);
+            BOOST_TEST((cpu_limit < 1.0 || std::abs(after[i] - before[i]) < 1e-9));
+        }
+        limited += cpu_limit < 1.0 ? 1 : 0;
+    }
+    BOOST_TEST((limited > 100 && limited < 1900));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
