Wake polls that wait for durable ends by the last commit of a batch only

Cause, part of the overload of the owner: each commit of a batch woke all polls that wait until their ends are durable. Only the last one carries ends, so the others sent polls to upstreams that respond at once with the same ends: work that grows with the delay that causes it.

Fix: a poll waits until its own ends are durable, for 250 ms at most as before, and only the end of a batch wakes it.

--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -100,7 +100,11 @@
             LOG(INFO) << "event=store_returned token=" << claim_.row.token;
         }
         scheduler_.confirm_commit(commit);
-        committed_.notify_all();
+        // Only the last commit of a batch makes ends durable, so the others would wake every poll for
+        // nothing.
+        if (!scheduler_.has_unfinished_batch()) {
+            committed_.notify_all();
+        }
         co_return true;
     }
     {
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -73,6 +73,10 @@
     awaitable<bool> load_upstreams();
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
+    // Waits for a moment until the applied ends of the upstream are durable. The upstream responds at once
+    // while it has unacknowledged ends, so polling it before would be a busy loop. Returns false if the
+    // upstream need not be polled any more.
+    awaitable<bool> wait_for_durable_ends(upstream_id id);
     awaitable<void> poll_upstream(upstream_id id);
     awaitable<void> dispatch();
     awaitable<void> send_order(upstream_order order, std::string address);
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -165,9 +165,30 @@
     return upstream == nullptr ? std::string() : upstream->entry.address;
 }
 
+awaitable<bool> cell_owner::wait_for_durable_ends(upstream_id id) {
+    constexpr milliseconds max_wait{250};
+    const auto deadline = std::chrono::steady_clock::now() + max_wait;
+    while (true) {
+        const auto seen = committed_.get_count();
+        {
+            std::lock_guard lock(mutex_);
+            if (is_over_ || scheduler_.find_upstream(id) == nullptr) {
+                polled_upstreams_.erase(id);
+                co_return false;
+            }
+            if (!scheduler_.has_unacknowledged_ends(id)) {
+                co_return true;
+            }
+        }
+        progress_.notify_all();
+        if (!co_await committed_.wait(seen, deadline)) {
+            co_return true;
+        }
+    }
+}
+
 awaitable<void> cell_owner::poll_upstream(upstream_id id) {
     constexpr milliseconds margin{500};
-    constexpr milliseconds commit_wait{250};
     milliseconds failure_delay{50};
     constexpr milliseconds max_failure_delay{400};
     auto last_poll = time_point();
@@ -180,25 +201,11 @@
         if (next_poll > std::chrono::steady_clock::now()) {
             co_await wait_until(next_poll);
         }
-        const auto seen_commits = committed_.get_count();
         poll_order order;
         const auto address = get_address(id);
         const bool is_same_connection = ports_.upstreams.has_poll_connection(address);
-        const auto now = std::chrono::steady_clock::now();
-        bool waits_for_commit = false;
-        {
-            std::lock_guard lock(mutex_);
-            if (is_over_ || scheduler_.find_upstream(id) == nullptr) {
-                polled_upstreams_.erase(id);
-                co_return;
-            }
-            waits_for_commit = scheduler_.has_unacknowledged_ends(id);
-        }
-        if (waits_for_commit) {
-            // The upstream responds at once while it has unacknowledged ends to report, so polling it before
-            // the commit would be a busy loop.
-            progress_.notify_all();
-            co_await committed_.wait(seen_commits, now + commit_wait);
+        if (!co_await wait_for_durable_ends(id)) {
+            co_return;
         }
         {
             std::lock_guard lock(mutex_);
