Begin the delay before a takeover only once there is a configuration

Cause: all VMs start before the first configuration. Each waited its delay, found no configuration and began again, so the VM whose delay happened to end after the configuration arrived took the cell, and weak VMs are the most.

Fix: a process without a configuration waits for one, then for its delay. The new test fails on the code before (4 of 4 runs).

--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -130,6 +130,7 @@
         config_ = state.config;
         owner = owner_;
     }
+    config_installed_.notify_all();
     LOG(INFO) << "event=config_installed version=" << state.config->version << " revision=" << state.revision
               << " queues=" << state.config->queues.size();
     metrics_.set_config_version(state.config->version);
@@ -256,10 +257,17 @@
     if (co_await renew_claim()) {
         co_return;
     }
+    const auto seen = config_installed_.get_count();
+    if (get_config() == nullptr) {
+        // A cell cannot be served without a configuration. The delay begins only when there is one: otherwise
+        // the process whose delay happens to end then would take the cell.
+        co_await config_installed_.wait(seen, get_deadline(milliseconds(owner_wait_ms)));
+        co_return;
+    }
     // Each attempt costs store calls, so the process with the best connection and most processors tries
     // first.
     co_await wait_until(get_deadline(get_contest_delay()));
-    if (is_stopping() || get_config() == nullptr) {
+    if (is_stopping()) {
         co_return;
     }
     const std::string key = make_owner_key();
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -72,6 +72,7 @@
     time_point store_failed_at_;
     // Measured latency of a store read.
     std::chrono::milliseconds store_delay_{50};
+    async_signal config_installed_;
     async_signal stopped_;
 };
 
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -66,8 +66,9 @@
 
     cell_ports make_ports() { return {cell_store(store), registry_port(registry), upstream_port(upstreams)}; }
 
-    std::shared_ptr<cell_member> add_member(const std::string& name) {
+    std::shared_ptr<cell_member> add_member(const std::string& name, std::int64_t processors_milli = 1000) {
         entry_settings settings;
+        settings.processors_milli = processors_milli;
         settings.vm = vm_id(name);
         settings.peer_address = "127.0.0.1:1";
         auto member = std::make_shared<cell_member>(context, make_ports(), settings, name, counters);
@@ -112,6 +113,31 @@
 
 BOOST_AUTO_TEST_SUITE(cell_member)
 
+// Guards against a weak VM that owns the cell while a strong one is there: all VMs start before the first
+// configuration, and the delays that order them ended before it.
+BOOST_AUTO_TEST_CASE(a_strong_vm_takes_the_cell_at_the_first_start) {
+    cell_parts cell;
+    cell.registry = std::make_shared<memory_registry>();
+    auto config = std::make_shared<dispatch_config>();
+    config->version = 1;
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        constexpr int weak_vms = 20;
+        std::vector<std::shared_ptr<jacinthvane::cell_member>> weak;
+        for (int i = 0; i < weak_vms; ++i) {
+            weak.push_back(cell.add_member("weak-" + std::to_string(i), 120));
+            co_await wait_until(after(milliseconds(25)));
+        }
+        const auto strong = cell.add_member("strong", 500);
+        // The strong VM has just looked for a configuration, so it learns of it after most of the others.
+        co_await wait_until(after(milliseconds(810)));
+        cell.registry->set_config(config);
+        BOOST_TEST(co_await wait_for_owner(strong));
+        for (const auto& member : weak) {
+            BOOST_TEST((member->get_owner() == nullptr));
+        }
+    });
+}
+
 // End to end in one process: a member takes the cell, and an accepted job runs to completion.
 BOOST_AUTO_TEST_CASE(runs_an_accepted_job) {
     cell_parts cell;
