--- /dev/null
+++ b/src/version/cell_runs.cpp
@@ -0,0 +1,116 @@
+// Periodic upkeep of runs and of the orders for them; see cell_scheduler.hpp.
+
+#include <chrono>
+
+#include <glog/logging.h>
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+// A run that reports no progress for this long is stopped and started on another upstream.
+constexpr std::chrono::milliseconds stall_timeout{3000};
+// Runs with a lower CPU limit are exempt from stall detection, since their progress may be too slow to see.
+constexpr std::int32_t min_progress_cpu_limit_percent = 50;
+// Runs with checkpoints on a leaving upstream are stopped this long before it is removed, so that their
+// checkpoints are saved and reported.
+constexpr std::chrono::milliseconds departure_margin{900};
+
+}  // namespace
+
+void cell_scheduler::release_expired_runs(time_point now) {
+    std::vector<upstream_id> removed;
+    for (auto& [id, upstream] : upstreams_) {
+        const bool is_unreachable = upstream.is_unresponsive || !upstream.has_responded;
+        // It has responded to this owner, so the ledger lists every run there, including those of earlier
+        // owners. Without any it can be removed before its leases expire.
+        const bool is_empty = upstream.has_responded && upstream.runs.empty() && !upstream.is_listed;
+        if (!upstream.is_lost(now) && !(is_unreachable && is_empty)) {
+            continue;
+        }
+        if (!upstream.runs.empty()) {
+            LOG(INFO) << "event=leases_lapsed upstream=" << id.get() << " runs=" << upstream.runs.size()
+                      << " answered=" << upstream.has_responded << " listed=" << upstream.is_listed;
+        }
+        while (!upstream.runs.empty()) {
+            release_run(upstream, upstream.runs.begin()->first, now);
+        }
+        if (!upstream.is_listed) {
+            removed.push_back(id);
+        }
+    }
+    for (const auto& id : removed) {
+        upstreams_.erase(id);
+    }
+}
+
+void cell_scheduler::repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
+                                   std::vector<upstream_order>& orders) {
+    for (auto& [key, run] : upstream.runs) {
+        if (run.is_order_sent || now < run.next_order) {
+            continue;
+        }
+        if (run.phase == run_phase::stopping) {
+            run.is_order_sent = true;
+            orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second});
+        } else if (run.phase == run_phase::starting && may_start && !upstream.is_unresponsive) {
+            auto* job = find_job(key.first.job);
+            const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+            if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
+                begin_stop(run, now);
+                continue;
+            }
+            run.is_order_sent = true;
+            const auto tickets = tickets_.find(key.first.get_step());
+            std::string ticket;
+            if (tickets != tickets_.end() && tickets->second.tickets.contains(upstream.entry.id)) {
+                ticket = tickets->second.tickets.at(upstream.entry.id);
+            }
+            orders.emplace_back(make_start(upstream, *job, key.first, key.second, ticket, now));
+        }
+    }
+}
+
+void cell_scheduler::stop_stalled_runs(upstream_ledger& upstream, time_point now) {
+    if (upstream.is_unresponsive) {
+        return;
+    }
+    for (auto& [key, run] : upstream.runs) {
+        const bool is_started_up = run.is_long_running && run.percent >= 100;
+        const bool is_stalled = run.phase == run_phase::running && !is_started_up && run.percent >= 0 &&
+                                run.cpu_limit_percent >= min_progress_cpu_limit_percent &&
+                                now - run.percent_changed_at > stall_timeout;
+        if (!is_stalled) {
+            continue;
+        }
+        auto* job = find_job(key.first.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+        if (task == nullptr) {
+            continue;
+        }
+        upstream.health.record_failure(key.first.job, !task->avoided.empty(), now);
+        task->avoided.push_back(upstream.entry.id);
+        begin_stop(run, now);
+    }
+}
+
+void cell_scheduler::move_runs_from_leaving(upstream_ledger& upstream, time_point now) {
+    if (!upstream.entry.is_leaving || upstream.is_unresponsive) {
+        return;
+    }
+    for (auto& [key, run] : upstream.runs) {
+        const auto* job = find_job(key.first.job);
+        if (run.phase != run_phase::running || job == nullptr) {
+            continue;
+        }
+        const bool saves_progress = job->job->spec.steps[key.first.step].saves_checkpoints;
+        const bool is_time_up = now + departure_margin >= upstream.leaves_at;
+        if (run.is_long_running || (saves_progress && is_time_up)) {
+            begin_stop(run, now);
+        }
+    }
+}
+
+}  // namespace jacinthvane
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -304,12 +304,14 @@
     bool has_negligible_interference_on(const upstream_ledger& upstream,
                                         const best_effort_use& best_effort_task) const;
 
-    // Decisions (cell_placement.cpp)
+    // Upkeep of runs and orders (cell_runs.cpp)
     void release_expired_runs(time_point now);
     void repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
                        std::vector<upstream_order>& orders);
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
+
+    // Decisions (cell_placement.cpp)
     std::vector<job_record*> sort_waiting_jobs(time_point now);
     void place_step(job_record& job, occurrence_record& occurrence, std::uint32_t step, time_point now,
                     cell_decisions& decisions);
