Move the responses to orders to cell_orders.cpp

record_avoided_upstream, which both files call, was a function of the anonymous namespace of cell_reports.cpp. It is a private static member now, with the same body and in the same file. Nothing else changed.

--- /dev/null
+++ b/src/version/cell_orders.cpp
@@ -0,0 +1,131 @@
+// Applies the responses of upstreams to orders; see cell_scheduler.hpp.
+
+#include <algorithm>
+#include <chrono>
+#include <variant>
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+constexpr std::chrono::milliseconds order_repeat_delay{250};
+// A run whose start order gets no response this many times is stopped, so that a delayed start order is
+// refused.
+constexpr std::uint32_t max_unknown_starts = 3;
+
+}  // namespace
+
+void cell_scheduler::apply_order_response(const upstream_order& order, const order_response& response,
+                                          clock_reading clock) {
+    struct visitor {
+        cell_scheduler& scheduler;
+        const order_response& response;
+        time_point now;
+
+        void operator()(const start_order& start) { scheduler.apply_start_response(start, response, now); }
+        void operator()(const stop_order& stop) { scheduler.apply_stop_response(stop, response, now); }
+        void operator()(const cpu_limit_order& limit) {
+            const auto found = scheduler.upstreams_.find(limit.upstream);
+            auto* run =
+                found == scheduler.upstreams_.end() ? nullptr : found->second.find_run(limit.task, limit.run);
+            if (run != nullptr && response.result != order_result::accepted) {
+                run->cpu_limit_percent = unknown_cpu_limit_percent;
+            }
+        }
+    };
+    if (response.result == order_result::refused_token) {
+        is_fenced_ = true;
+    }
+    std::visit(visitor{*this, response, clock.now}, order);
+}
+
+void cell_scheduler::begin_stop(run_record& run, time_point now) {
+    if (run.phase == run_phase::stopping) {
+        return;
+    }
+    run.phase = run_phase::stopping;
+    run.is_order_sent = false;
+    run.failed_orders = 0;
+    run.next_order = now;
+}
+
+void cell_scheduler::apply_start_response(const start_order& order, const order_response& response,
+                                          time_point now) {
+    const auto found = upstreams_.find(order.upstream);
+    auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
+    if (run == nullptr) {
+        return;
+    }
+    if (run->phase == run_phase::stopping) {
+        run->has_unknown_start = run->has_unknown_start || response.result == order_result::unknown;
+        return;
+    }
+    run->is_order_sent = false;
+    auto& upstream = found->second;
+    switch (response.result) {
+        case order_result::accepted:
+            run->seen_clock_ms = std::max(run->seen_clock_ms, response.clock_ms);
+            run->phase = run_phase::running;
+            run->percent_changed_at = now;
+            if (run->best_effort_milli > 0) {
+                update_cpu_limits(upstream, now);
+            }
+            return;
+        case order_result::unknown:
+            run->has_unknown_start = true;
+            ++run->failed_orders;
+            run->next_order = now + order_repeat_delay;
+            if (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive) {
+                begin_stop(*run, now);
+            }
+            return;
+        case order_result::refused_other_incarnation:
+            end_incarnation(order.upstream, now);
+            return;
+        case order_result::refused_busy:
+            upstream.health.record_failure(order.task.job, false, now);
+            break;
+        default:
+            break;
+    }
+    if (run->phase == run_phase::running) {
+        return;
+    }
+    if (run->has_unknown_start) {
+        // An earlier copy of the order may still be carried out. The stop ends the run or has the start
+        // refused.
+        begin_stop(*run, now);
+        return;
+    }
+    auto* job = find_job(order.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(order.task);
+    if (task != nullptr) {
+        record_avoided_upstream(*task, order.upstream);
+    }
+    release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
+}
+
+void cell_scheduler::apply_stop_response(const stop_order& order, const order_response& response,
+                                         time_point now) {
+    const auto found = upstreams_.find(order.upstream);
+    auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
+    if (run == nullptr) {
+        return;
+    }
+    run->is_order_sent = false;
+    if (response.result == order_result::refused_other_incarnation) {
+        end_incarnation(order.upstream, now);
+        return;
+    }
+    if (response.result == order_result::accepted || response.result == order_result::refused_outdated) {
+        run->stopped_clock_ms = std::max(run->stopped_clock_ms, response.clock_ms);
+        // Sent again only if no report lists the end of the run by then.
+        run->next_order = now + limits_.stop_timeout + std::chrono::seconds(2);
+        return;
+    }
+    run->next_order = now + order_repeat_delay;
+}
+
+}  // namespace jacinthvane
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -1,4 +1,4 @@
-// Applies reports and responses of upstreams to the state of the cell; see cell_scheduler.hpp.
+// Applies reports of upstreams to the state of the cell; see cell_scheduler.hpp.
 
 #include <algorithm>
 #include <chrono>
@@ -14,14 +14,10 @@
 // An upstream lists at most this many ends in a report; a list of this length may be truncated.
 constexpr std::size_t max_listed_ends = 500;
 constexpr std::size_t max_avoided_upstreams = 3;
-constexpr std::chrono::milliseconds order_repeat_delay{250};
 constexpr std::chrono::milliseconds failure_delay{50};
 constexpr std::chrono::milliseconds max_failure_delay{2000};
 // Covers the rounding to whole milliseconds on the owner's and the upstream's side.
 constexpr std::chrono::milliseconds lease_rounding_margin{100};
-// A run whose start order gets no response this many times is stopped, so that a delayed start order is
-// refused.
-constexpr std::uint32_t max_unknown_starts = 3;
 // How long an upstream without runs may hold a poll.
 constexpr std::int64_t empty_poll_wait_ms = 2000;
 // Allowed in addition to the stop timeout before an absent run is released.
@@ -32,14 +28,6 @@
 // Longest interval between the reports of all other upstreams with runs.
 constexpr std::int64_t normal_poll_wait_ms = 1500;
 
-void record_avoided_upstream(task_record& task, const upstream_id& upstream) {
-    std::erase(task.avoided, upstream);
-    task.avoided.push_back(upstream);
-    if (task.avoided.size() > max_avoided_upstreams) {
-        task.avoided.erase(task.avoided.begin());
-    }
-}
-
 std::chrono::milliseconds get_failure_delay(std::uint32_t failures) {
     return std::min(failure_delay * (1U << std::min(failures, 6U)), max_failure_delay);
 }
@@ -348,6 +336,14 @@
     requeue_task(job, ref, now + get_failure_delay(task->failures_in_row));
 }
 
+void cell_scheduler::record_avoided_upstream(task_record& task, const upstream_id& upstream) {
+    std::erase(task.avoided, upstream);
+    task.avoided.push_back(upstream);
+    if (task.avoided.size() > max_avoided_upstreams) {
+        task.avoided.erase(task.avoided.begin());
+    }
+}
+
 void cell_scheduler::count_failure(job_record& job, const task_ref& ref, std::uint64_t run, time_point now) {
     const auto& spec = job.job->spec.steps[ref.step];
     if (spec.is_long_running) {
@@ -490,115 +486,4 @@
     upstream.unanswered_poll_sent_at = std::max(upstream.unanswered_poll_sent_at, sent_at);
 }
 
-void cell_scheduler::apply_order_response(const upstream_order& order, const order_response& response,
-                                          clock_reading clock) {
-    struct visitor {
-        cell_scheduler& scheduler;
-        const order_response& response;
-        time_point now;
-
-        void operator()(const start_order& start) { scheduler.apply_start_response(start, response, now); }
-        void operator()(const stop_order& stop) { scheduler.apply_stop_response(stop, response, now); }
-        void operator()(const cpu_limit_order& limit) {
-            const auto found = scheduler.upstreams_.find(limit.upstream);
-            auto* run =
-                found == scheduler.upstreams_.end() ? nullptr : found->second.find_run(limit.task, limit.run);
-            if (run != nullptr && response.result != order_result::accepted) {
-                run->cpu_limit_percent = unknown_cpu_limit_percent;
-            }
-        }
-    };
-    if (response.result == order_result::refused_token) {
-        is_fenced_ = true;
-    }
-    std::visit(visitor{*this, response, clock.now}, order);
-}
-
-void cell_scheduler::begin_stop(run_record& run, time_point now) {
-    if (run.phase == run_phase::stopping) {
-        return;
-    }
-    run.phase = run_phase::stopping;
-    run.is_order_sent = false;
-    run.failed_orders = 0;
-    run.next_order = now;
-}
-
-void cell_scheduler::apply_start_response(const start_order& order, const order_response& response,
-                                          time_point now) {
-    const auto found = upstreams_.find(order.upstream);
-    auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
-    if (run == nullptr) {
-        return;
-    }
-    if (run->phase == run_phase::stopping) {
-        run->has_unknown_start = run->has_unknown_start || response.result == order_result::unknown;
-        return;
-    }
-    run->is_order_sent = false;
-    auto& upstream = found->second;
-    switch (response.result) {
-        case order_result::accepted:
-            run->seen_clock_ms = std::max(run->seen_clock_ms, response.clock_ms);
-            run->phase = run_phase::running;
-            run->percent_changed_at = now;
-            if (run->best_effort_milli > 0) {
-                update_cpu_limits(upstream, now);
-            }
-            return;
-        case order_result::unknown:
-            run->has_unknown_start = true;
-            ++run->failed_orders;
-            run->next_order = now + order_repeat_delay;
-            if (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive) {
-                begin_stop(*run, now);
-            }
-            return;
-        case order_result::refused_other_incarnation:
-            end_incarnation(order.upstream, now);
-            return;
-        case order_result::refused_busy:
-            upstream.health.record_failure(order.task.job, false, now);
-            break;
-        default:
-            break;
-    }
-    if (run->phase == run_phase::running) {
-        return;
-    }
-    if (run->has_unknown_start) {
-        // An earlier copy of the order may still be carried out. The stop ends the run or has the start
-        // refused.
-        begin_stop(*run, now);
-        return;
-    }
-    auto* job = find_job(order.task.job);
-    auto* task = job == nullptr ? nullptr : job->find_task(order.task);
-    if (task != nullptr) {
-        record_avoided_upstream(*task, order.upstream);
-    }
-    release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
-}
-
-void cell_scheduler::apply_stop_response(const stop_order& order, const order_response& response,
-                                         time_point now) {
-    const auto found = upstreams_.find(order.upstream);
-    auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
-    if (run == nullptr) {
-        return;
-    }
-    run->is_order_sent = false;
-    if (response.result == order_result::refused_other_incarnation) {
-        end_incarnation(order.upstream, now);
-        return;
-    }
-    if (response.result == order_result::accepted || response.result == order_result::refused_outdated) {
-        run->stopped_clock_ms = std::max(run->stopped_clock_ms, response.clock_ms);
-        // Sent again only if no report lists the end of the run by then.
-        run->next_order = now + limits_.stop_timeout + std::chrono::seconds(2);
-        return;
-    }
-    run->next_order = now + order_repeat_delay;
-}
-
 }  // namespace jacinthvane
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -251,16 +251,13 @@
     void update_waiting(const job_record& job);
     void begin_commit_batch();
 
-    // Reports and responses (cell_reports.cpp)
+    // Reports (cell_reports.cpp)
     void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, time_point now);
     void apply_end(upstream_ledger& upstream, const ended_row& row, time_point now);
     void apply_running(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
                        time_point now);
     void adopt_run(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms, time_point now);
     void release_absent_runs(upstream_ledger& upstream, const upstream_report& report, time_point now);
-    void apply_start_response(const start_order& order, const order_response& response, time_point now);
-    void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
-    void begin_stop(run_record& run, time_point now);
     // Removes a run that is known not to be on the upstream although no end was reported, and requeues its
     // task.
     void release_run(upstream_ledger& upstream, run_key key, time_point now);
@@ -270,9 +267,15 @@
     void requeue_task(job_record& job, const task_ref& task, time_point not_before);
     void finish_task(job_record& job, const task_ref& task, time_point now);
     void fail_task(job_record& job, const task_ref& task, upstream_ledger& upstream, time_point now);
+    static void record_avoided_upstream(task_record& task, const upstream_id& upstream);
     void count_failure(job_record& job, const task_ref& task, std::uint64_t run, time_point now);
     job_record* find_job(const job_id& id);
 
+    // Responses to orders (cell_orders.cpp)
+    void apply_start_response(const start_order& order, const order_response& response, time_point now);
+    void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
+    void begin_stop(run_record& run, time_point now);
+
     // CPU limits of best-effort tasks that share an upstream with latency-critical tasks
     // (cell_cpu_limits.cpp)
     void apply_latency_measurements(upstream_ledger& upstream, const upstream_report& report, time_point now);
