Count only start orders against the bound on starts

Found by the review: the bound of 256 orders counted stops and CPU limits as well. While a failure domain is cut off, stop orders to its upstreams are repeated every 850 ms and wait 600 ms each, so 350 runs that have to end would keep every other task of the cell from starting until their leases expire.

The owner counts start orders without a response, and a decision counts the tasks that it starts. The new test fails on the code before: no start beside repeated stops, where five are allowed.

--- a/src/process/owner_load.hpp
+++ b/src/process/owner_load.hpp
@@ -36,7 +36,6 @@
     void begin_order() { ++orders_in_flight_; }
     void end_order(time_point::duration time, bool is_sent);
 
-    std::uint64_t get_orders_in_flight() const { return orders_in_flight_; }
     // Returns the fields of a log line and begins a new interval.
     std::string take_fields();
 
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -25,9 +25,9 @@
 constexpr milliseconds decision_interval{20};
 constexpr milliseconds max_decision_interval{150};
 constexpr int pause_to_work_ratio = 5;
-// Starts wait in the queue while this many orders have no response yet. Responses of healthy upstreams take a
-// few milliseconds, also between regions, so this allows thousands of starts a second.
-constexpr std::uint64_t max_orders_in_flight = 256;
+// Tasks wait in the queue while this many start orders have no response yet. Responses of healthy upstreams
+// take tens of milliseconds at most, also between regions, so this allows thousands of starts a second.
+constexpr std::size_t max_starts_in_flight = 256;
 // Interval at which deadlines are checked when nothing else changes.
 constexpr milliseconds idle_interval{100};
 
@@ -344,15 +344,16 @@
         std::vector<std::string> addresses;
         {
             std::lock_guard lock(mutex_);
-            const auto in_flight = std::min(load_.get_orders_in_flight(), max_orders_in_flight);
+            const auto in_flight = std::min(starts_in_flight_, max_starts_in_flight);
             decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_,
-                                          max_orders_in_flight - in_flight);
+                                          max_starts_in_flight - in_flight);
             for (const auto& order : decisions.orders) {
                 const auto& id =
                     std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
                 const auto* upstream = scheduler_.find_upstream(id);
                 addresses.push_back(upstream == nullptr ? std::string() : upstream->entry.address);
                 load_.begin_order();
+                starts_in_flight_ += std::holds_alternative<start_order>(order) ? 1 : 0;
             }
             load_.add_decision(std::chrono::steady_clock::now() - started_at);
         }
@@ -384,6 +385,7 @@
     }
     {
         std::lock_guard lock(mutex_);
+        starts_in_flight_ -= start != nullptr ? 1 : 0;
         load_.end_order(std::chrono::steady_clock::now() - started_at,
                         response.result != order_result::not_sent);
         scheduler_.apply_order_response(order, response, read_clock());
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -125,6 +125,7 @@
     // Guarded by mutex_.
     cell_scheduler scheduler_;
     owner_load load_;
+    std::size_t starts_in_flight_ = 0;
     work_pacer pacer_;
     std::set<upstream_id> polled_upstreams_;
     bool is_over_ = false;
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -60,7 +60,7 @@
 
 }  // namespace
 
-cell_decisions cell_scheduler::decide(clock_reading clock, bool may_start, std::size_t max_orders) {
+cell_decisions cell_scheduler::decide(clock_reading clock, bool may_start, std::size_t max_starts) {
     cell_decisions decisions;
     if (is_fenced_) {
         return decisions;
@@ -93,9 +93,9 @@
     best_effort_views_.clear();
     collect_usable_upstreams(now);
     const bool is_resolved = is_takeover_resolved(now);
-    max_orders_ = max_orders;
+    starts_left_ = max_starts;
     for (auto* job : sort_waiting_jobs(now)) {
-        if (decisions.orders.size() >= max_orders_) {
+        if (starts_left_ == 0) {
             break;
         }
         if (job->is_inherited && !is_resolved) {
@@ -157,7 +157,7 @@
         if (task.phase != task_phase::waiting || now < task.not_before) {
             continue;
         }
-        if (decisions.orders.size() >= max_orders_) {
+        if (starts_left_ == 0) {
             return;
         }
         const auto chosen = choose_upstream(job, ref, task, now);
@@ -422,6 +422,7 @@
     record.started_at = now;
     chosen.upstream->add_run(ref, run, record);
     best_effort_views_.erase(chosen.upstream);
+    starts_left_ -= starts_left_ > 0 ? 1 : 0;
     decisions.orders.emplace_back(make_start(*chosen.upstream, job, ref, run, chosen.ticket, now));
 }
 
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -144,11 +144,12 @@
                       const std::vector<std::pair<upstream_id, std::string>>& tickets,
                       time_point valid_until);
 
-    // Decides starts, stops and CPU limits. may_start is false while ownership is not proven. No task starts
-    // once the decision has max_orders orders: tasks that could not be sent for lack of processor time stay
-    // in the queue, where they keep their order and can still be cancelled.
+    // Decides starts, stops and CPU limits. may_start is false while ownership is not proven. At most
+    // max_starts tasks start, except that a gang starts as a whole: tasks whose start orders could not be
+    // sent for lack of processor time stay in the queue, where they keep their order and can still be
+    // cancelled.
     cell_decisions decide(clock_reading clock, bool may_start,
-                          std::size_t max_orders = std::numeric_limits<std::size_t>::max());
+                          std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
     bool has_commit_work() const {
         return !dirty_jobs_.empty() || !commit_batch_.empty() || has_uncommitted_ends_;
@@ -373,7 +374,7 @@
     std::vector<upstream_order> queued_orders_;
     std::vector<unplaced_size> unplaced_;
     // Valid within one decision.
-    std::size_t max_orders_ = 0;
+    std::size_t starts_left_ = 0;
     std::vector<upstream_ledger*> usable_upstreams_;
     std::unordered_map<const upstream_ledger*, best_effort_view> best_effort_views_;
     std::vector<candidate> candidates_;
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -243,6 +243,26 @@
     BOOST_TEST(cell.scheduler->get_run_count() == 5U);
 }
 
+// Guards against a cell that starts nothing while many stop orders to silent upstreams are repeated.
+BOOST_AUTO_TEST_CASE(starts_tasks_beside_many_stop_orders) {
+    cell_fixture cell(4);
+    cell.add_job("silent", cell_fixture::make_job({cell_fixture::make_step(16)}), 20000);
+    cell.run_for(seconds(1));
+    for (const auto& entry : cell.entries) {
+        cell.upstreams.set_partitioned(entry.id, entry.id != cell.entries.back().id);
+    }
+    cell.scheduler->cancel_job(job_id("silent"), cell.read_clock());
+    cell.run_for(seconds(1));
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(5)}));
+    // All stop orders without a response are due for a repetition.
+    cell.clock->advance(milliseconds(300));
+    std::size_t starts = 0;
+    for (const auto& order : cell.scheduler->decide(cell.read_clock(), true, 5).orders) {
+        starts += std::holds_alternative<start_order>(order) ? 1 : 0;
+    }
+    BOOST_TEST(starts == 5U);
+}
+
 // Guards against two completed runs of one task: the first run of a task turns out to be done while the
 // second runs, and the second goes on to its end.
 BOOST_AUTO_TEST_CASE(stops_the_second_run_of_a_task_that_was_done) {
