Check a start order again before it is sent, and blame no upstream for one that was not

Found by the review: a start order that waited for processor time was sent even if its job had been cancelled or an earlier run of its task had turned out to be done, and one that could not be sent made its task avoid a sound upstream.

The owner asks the scheduler right before it sends whether the run still has to start. An order that this process delayed has the result delayed; its run is released without a word about the upstream.

--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -63,8 +63,8 @@
     not_sent,
     // The order may have taken effect, or may do so later.
     unknown,
-    // This process was too slow to send a poll or to read the response, so the outcome says nothing about the
-    // upstream.
+    // This process was too slow to send the order, or to read the response to a poll, so the outcome says
+    // nothing about the upstream.
     delayed,
 };
 
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -371,11 +371,19 @@
     }
 }
 
+bool cell_owner::is_start_pending(const start_order& order) const {
+    std::lock_guard lock(mutex_);
+    return scheduler_.is_start_pending(order);
+}
+
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
     const auto started_at = std::chrono::steady_clock::now();
     const auto deadline = started_at + order_timeout;
-    const auto response = co_await ports_.upstreams.send(address, order, claim_.row.token, deadline);
     const auto* start = std::get_if<start_order>(&order);
+    order_response response{order_result::delayed, 0};
+    if (start == nullptr || is_start_pending(*start)) {
+        response = co_await ports_.upstreams.send(address, order, claim_.row.token, deadline);
+    }
     if (start != nullptr || response.result != order_result::accepted) {
         const auto describe = [](const auto& o) { return o.task.to_string() + "/" + std::to_string(o.run); };
         LOG(INFO) << "event=" << (start != nullptr ? "start" : "order")
@@ -386,8 +394,9 @@
     {
         std::lock_guard lock(mutex_);
         starts_in_flight_ -= start != nullptr ? 1 : 0;
-        load_.end_order(std::chrono::steady_clock::now() - started_at,
-                        response.result != order_result::not_sent);
+        load_.end_order(
+            std::chrono::steady_clock::now() - started_at,
+            response.result != order_result::not_sent && response.result != order_result::delayed);
         scheduler_.apply_order_response(order, response, read_clock());
     }
     if (response.result == order_result::refused_token) {
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -79,6 +79,7 @@
     awaitable<bool> wait_for_durable_ends(upstream_id id);
     awaitable<void> poll_upstream(upstream_id id);
     awaitable<void> dispatch();
+    bool is_start_pending(const start_order& order) const;
     awaitable<void> send_order(upstream_order order, std::string address);
     awaitable<void> fetch_advice(advice_request request);
     awaitable<void> write_progress();
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -41,6 +41,15 @@
     std::visit(visitor{*this, response, clock.now}, order);
 }
 
+bool cell_scheduler::is_start_pending(const start_order& order) const {
+    const auto found = upstreams_.find(order.upstream);
+    if (found == upstreams_.end()) {
+        return false;
+    }
+    const auto run = found->second.runs.find({order.task, order.run});
+    return run != found->second.runs.end() && run->second.phase == run_phase::starting;
+}
+
 void cell_scheduler::begin_stop(run_record& run, time_point now) {
     if (run.phase == run_phase::stopping) {
         return;
@@ -101,7 +110,7 @@
     }
     auto* job = find_job(order.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(order.task);
-    if (task != nullptr) {
+    if (task != nullptr && response.result != order_result::delayed) {
         record_avoided_upstream(*task, order.upstream);
     }
     release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -151,6 +151,10 @@
     cell_decisions decide(clock_reading clock, bool may_start,
                           std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
+    // Whether a start order that was decided earlier should still be sent: its job may have been cancelled,
+    // or an earlier run of its task may have turned out to be done.
+    bool is_start_pending(const start_order& order) const;
+
     bool has_commit_work() const {
         return !dirty_jobs_.empty() || !commit_batch_.empty() || has_uncommitted_ends_;
     }
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -263,6 +263,19 @@
     BOOST_TEST(starts == 5U);
 }
 
+// Guards against a start that is sent after its job was cancelled, since the order waited for processor time.
+BOOST_AUTO_TEST_CASE(sends_no_start_of_a_cancelled_job) {
+    cell_fixture cell(2);
+    cell.run_for(milliseconds(100));
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}));
+    const auto decisions = cell.scheduler->decide(cell.read_clock(), true);
+    BOOST_REQUIRE(decisions.orders.size() == 1U);
+    const auto& start = std::get<start_order>(decisions.orders.front());
+    BOOST_TEST(cell.scheduler->is_start_pending(start));
+    cell.scheduler->cancel_job(job_id("job"), cell.read_clock());
+    BOOST_TEST(!cell.scheduler->is_start_pending(start));
+}
+
 // Guards against two completed runs of one task: the first run of a task turns out to be done while the
 // second runs, and the second goes on to its end.
 BOOST_AUTO_TEST_CASE(stops_the_second_run_of_a_task_that_was_done) {
