Write a job that changes during a batch once

Found by the review: a job of the current batch that changed before its commit was written with all its changes, and again with the same content in the next batch.

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -455,8 +455,8 @@
     while (!is_over()) {
         const auto due = std::chrono::steady_clock::now() + interval;
         co_await wait_until(due);
-        std::lock_guard lock(mutex_);
         const auto now = std::chrono::steady_clock::now();
+        std::lock_guard lock(mutex_);
         load_.add_timer(due, now);
         pacer_.add_timer(due, now);
     }
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -214,6 +214,8 @@
                 return commit;
             }
             commit.jobs.push_back({*first, std::move(progress)});
+            // The commit contains all changes of the job so far.
+            dirty_jobs_.erase(*first);
         }
         commit_batch_.erase(first);
     }
