Drop connections with unexpected bytes, and blame no own delay for a server that stops

Found by the new tests of the HTTP client, three of which failed: - Bytes that follow a response, or arrive on an idle connection, were returned as the response to the next request if the last read had taken exactly the announced body. An idle connection is used again only if nothing waits in its socket. - A server that takes only a part of a large request was reported as call_delayed, since any unfinished write counted as an own delay. So was one that sends a part of its response and stops, a second after the deadline.

When the time is up, only what waits in the socket then counts as an own delay. A response that has begun to arrive still has its second to be read.

--- a/src/connection/client_connection.cpp
+++ b/src/connection/client_connection.cpp
@@ -94,7 +94,6 @@
     exchange_timer& operator=(const exchange_timer&) = delete;
 
     void set_connected() { state_->is_connected = true; }
-    void set_written() { state_->is_written = true; }
     void set_read_begun() { state_->has_read_begun = true; }
     bool has_expired() const { return state_->has_expired; }
     // Whether the call failed because of this process: it left a connection or a response unattended.
@@ -109,8 +108,9 @@
         asio::steady_timer timer;
         bool is_finished = false;
         bool is_connected = false;
-        bool is_written = false;
         bool has_read_begun = false;
+        // The deadline has passed, and the response that has begun to arrive is still read.
+        bool is_read_late = false;
         bool has_expired = false;
         bool is_own_delay = false;
     };
@@ -125,14 +125,15 @@
     }
 
     static void expire(const std::shared_ptr<shared_state>& state) {
-        const bool has_response = has_arrived(*state);
-        if (has_response && state->is_written && !state->is_own_delay) {
-            state->is_own_delay = true;
+        const bool has_unhandled_data = has_arrived(*state);
+        const bool has_response = state->is_connected && (has_unhandled_data || state->has_read_begun);
+        if (has_response && !state->is_read_late) {
+            state->is_read_late = true;
             wait(state, std::chrono::steady_clock::now() + late_read_grace);
             return;
         }
         state->has_expired = true;
-        state->is_own_delay = has_response || (state->is_connected && !state->is_written);
+        state->is_own_delay = has_unhandled_data;
         // An operation that begins after a mere cancellation would wait without a deadline.
         boost::system::error_code error;
         state->socket.close(error);
@@ -143,7 +144,7 @@
     static bool has_arrived(const shared_state& state) {
         boost::system::error_code error;
         if (state.is_connected) {
-            return state.has_read_begun || state.socket.available(error) > 0;
+            return state.socket.available(error) > 0;
         }
         state.socket.remote_endpoint(error);
         return !error;
@@ -154,6 +155,11 @@
 
 client_connection::client_connection(asio::io_context& context) : socket_(context) {}
 
+bool client_connection::is_reusable() const {
+    boost::system::error_code error;
+    return is_open_ && socket_.available(error) == 0 && !error;
+}
+
 awaitable<boost::system::error_code> client_connection::write_request(std::string text) {
     boost::system::error_code error;
     auto written = socket_.write_some(asio::buffer(text), error);
@@ -233,7 +239,6 @@
     parser.eager(true);
     parser.body_limit(max_response_bytes);
     if (!error) {
-        timer.set_written();
         error = co_await read_response(parser, timer);
     }
     if (error || timer.has_expired()) {
--- a/src/connection/client_connection.hpp
+++ b/src/connection/client_connection.hpp
@@ -31,6 +31,8 @@
 
     // Whether the connection can be used for another exchange.
     bool is_open() const { return is_open_; }
+    // Whether it can still be used: bytes that arrived while it was idle belong to no later request.
+    bool is_reusable() const;
     time_point get_idle_since() const { return idle_since_; }
     void set_idle_since(time_point now) { idle_since_ = now; }
 
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -73,6 +73,9 @@
             released = pool.released;
             seen = released->get_count();
             drop_old_connections(pool);
+            while (!pool.idle.empty() && !pool.idle.back()->is_reusable()) {
+                pool.idle.pop_back();
+            }
             if (choice == connection_choice::reused && pool.idle.empty()) {
                 co_return make_error(error_kind::call_delayed,
                                      "there is no idle connection to " + address + " to reuse",
