--- a/standin/platform_upstreams.cpp
+++ b/standin/platform_upstreams.cpp
@@ -5,11 +5,13 @@
 #include <chrono>
 #include <cstdlib>
 #include <map>
+#include <mutex>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "connection/async_signal.hpp"
+#include "process/ordered_mutex.hpp"
 
 namespace jacinthvane::standin {
 
@@ -37,6 +39,8 @@
 
 class platform_upstreams::simulated_upstream {
 public:
+    explicit simulated_upstream(std::string name) : name_(std::move(name)) {}
+
     awaitable<http_response> handle(http_request request) {
         const auto body = json::parse(request.body, nullptr, false);
         end_finished_runs();
@@ -46,12 +50,14 @@
         }
         token_ = token;
         const auto until = body.value("UntilMs", std::int64_t{0});
-        lease_until_ = std::max(lease_until_, until);
+        extend_lease(until);
         const auto path = request.get_path();
         if (path == "/-/run-start") {
-            start(body);
+            if (const char* reason = start(body); reason != nullptr) {
+                co_return make_response(conflict_status, {{"ClockMs", read_clock()}, {"Reason", reason}});
+            }
         } else if (path == "/-/run-stop") {
-            end_run(body.value("Task", std::string()), "stopped");
+            stop(body);
         } else if (path == "/-/hold") {
             co_return co_await list(body);
         }
@@ -61,11 +67,23 @@
     std::uint64_t get_start_count() const { return starts_; }
     std::uint64_t get_end_count() const { return ends_; }
 
+    std::vector<observed_run> get_runs() const {
+        std::lock_guard lock(mutex_);
+        return observed_;
+    }
+
+    time_point get_lease_end() const {
+        std::lock_guard lock(mutex_);
+        return observed_running_ > 0 ? observed_lease_end_ : time_point::max();
+    }
+
 private:
     struct simulated_run {
         std::uint64_t number = 0;
         // When the task is done; max for a task that runs until it is stopped.
         time_point done_at;
+        // Position in observed_.
+        std::size_t position = 0;
     };
 
     std::int64_t read_clock() const {
@@ -73,35 +91,90 @@
         return clock_start_ms + std::chrono::duration_cast<milliseconds>(up).count();
     }
 
-    void start(const json& body) {
+    // When the lease ends; max if none was granted yet.
+    time_point get_lease_limit() const {
+        return lease_until_ > 0 ? booted_at_ + milliseconds(lease_until_ - clock_start_ms)
+                                : time_point::max();
+    }
+
+    void extend_lease(std::int64_t until) {
+        lease_until_ = std::max(lease_until_, until);
+        std::lock_guard lock(mutex_);
+        observed_lease_end_ = get_lease_limit();
+    }
+
+    // Returns why the start is refused, or null if the run exists now.
+    const char* start(const json& body) {
+        const auto task = body.value("Task", std::string());
+        const auto number = body.value("RunId", std::uint64_t{0});
+        if (body.value("UntilMs", std::int64_t{0}) < read_clock()) {
+            return "late";
+        }
+        if (const auto running = runs_.find(task); running != runs_.end()) {
+            return running->second.number == number ? nullptr : "old";
+        }
+        // A repeated order must not start a run again that has ended, or one that was stopped before.
+        if (const auto found = excluded_.find(task); found != excluded_.end() && number <= found->second) {
+            return "old";
+        }
         const auto work_ms = std::atoll(body.value("Spec", std::string("0")).c_str());
         const auto now = std::chrono::steady_clock::now();
         const auto done_at = work_ms > 0 ? now + milliseconds(work_ms) : time_point::max();
-        const simulated_run run{body.value("RunId", std::uint64_t{0}), done_at};
-        starts_ += runs_.emplace(body.value("Task", std::string()), run).second ? 1 : 0;
+        ++starts_;
+        std::lock_guard lock(mutex_);
+        runs_.emplace(task, simulated_run{number, done_at, observed_.size()});
+        observed_run run;
+        run.task = task;
+        run.number = number;
+        run.upstream = name_;
+        run.started_at = now;
+        observed_.push_back(run);
+        ++observed_running_;
+        return nullptr;
     }
 
-    void end_run(const std::string& task, const char* how) {
+    void stop(const json& body) {
+        const auto task = body.value("Task", std::string());
+        const auto number = body.value("RunId", std::uint64_t{0});
+        exclude(task, number);
         const auto found = runs_.find(task);
-        if (found == runs_.end()) {
-            return;
+        if (found != runs_.end() && found->second.number <= number) {
+            end_run(task, "stopped", std::chrono::steady_clock::now());
         }
-        ended_.push_back(json::array({next_end_++, task, found->second.number, how, ""}));
+    }
+
+    void exclude(const std::string& task, std::uint64_t number) {
+        auto& excluded = excluded_[task];
+        excluded = std::max(excluded, number);
+    }
+
+    void end_run(const std::string& task, const char* how, time_point ended_at) {
+        const auto found = runs_.find(task);
+        const auto run = found->second;
+        exclude(task, run.number);
+        ended_.push_back(json::array({next_end_++, task, run.number, how, ""}));
         runs_.erase(found);
         ++ends_;
+        std::lock_guard lock(mutex_);
+        observed_[run.position].ended_at = ended_at;
+        observed_[run.position].how = how;
+        --observed_running_;
     }
 
+    // Ends the runs that are done and, once the lease has ended, all others. A run that was done before the
+    // lease ended counts as done, even if it is looked at later.
     void end_finished_runs() {
         const auto now = std::chrono::steady_clock::now();
-        const bool has_lapsed = !runs_.empty() && lease_until_ > 0 && read_clock() > lease_until_;
-        std::vector<std::string> finished;
+        const auto lease_limit = get_lease_limit();
+        std::vector<std::pair<std::string, time_point>> finished;
         for (const auto& [task, run] : runs_) {
-            if (has_lapsed || run.done_at <= now) {
-                finished.push_back(task);
+            if (std::min(run.done_at, lease_limit) <= now) {
+                finished.emplace_back(task, run.done_at);
             }
         }
-        for (const auto& task : finished) {
-            end_run(task, has_lapsed ? "lapsed" : "done");
+        for (const auto& [task, done_at] : finished) {
+            const bool is_done = done_at <= lease_limit;
+            end_run(task, is_done ? "done" : "lapsed", std::min(done_at, lease_limit));
         }
     }
 
@@ -113,7 +186,7 @@
         while (ended_.empty() && std::chrono::steady_clock::now() < deadline) {
             auto next = std::min(deadline, std::chrono::steady_clock::now() + wait_step);
             for (const auto& [task, run] : runs_) {
-                next = std::min(next, run.done_at);
+                next = std::min({next, run.done_at, get_lease_limit()});
             }
             co_await wait_until(next);
             end_finished_runs();
@@ -127,12 +200,20 @@
         co_return make_response(200, {{"ClockMs", read_clock()}, {"Running", running}, {"Ended", ended_}});
     }
 
+    const std::string name_;
     const time_point booted_at_ = std::chrono::steady_clock::now();
     std::uint64_t token_ = 0;
     std::int64_t lease_until_ = 0;
     std::uint64_t next_end_ = 1;
     std::map<std::string, simulated_run> runs_;
     std::vector<json> ended_;
+    // Highest number of a run of the task that has ended or was stopped.
+    std::map<std::string, std::uint64_t> excluded_;
+    mutable ordered_mutex mutex_{lock_rank::standin};
+    // Guarded by mutex_.
+    std::vector<observed_run> observed_;
+    std::size_t observed_running_ = 0;
+    time_point observed_lease_end_ = time_point::max();
     // Read by other threads.
     std::atomic<std::uint64_t> starts_ = 0;
     std::atomic<std::uint64_t> ends_ = 0;
@@ -140,7 +221,7 @@
 
 platform_upstreams::platform_upstreams(asio::io_context& context, std::size_t count) : context_(context) {
     for (std::size_t i = 0; i < count; ++i) {
-        upstreams_.push_back(std::make_shared<simulated_upstream>());
+        upstreams_.push_back(std::make_shared<simulated_upstream>("u" + std::to_string(i)));
     }
 }
 
@@ -187,4 +268,21 @@
     return count;
 }
 
+std::vector<observed_run> platform_upstreams::get_runs() const {
+    std::vector<observed_run> runs;
+    for (const auto& upstream : upstreams_) {
+        const auto part = upstream->get_runs();
+        runs.insert(runs.end(), part.begin(), part.end());
+    }
+    return runs;
+}
+
+time_point platform_upstreams::get_first_lease_end() const {
+    auto first = time_point::max();
+    for (const auto& upstream : upstreams_) {
+        first = std::min(first, upstream->get_lease_end());
+    }
+    return first;
+}
+
 }  // namespace jacinthvane::standin
