Move two functions to their file, and word what the review stumbled over

The owner logs the first of several failed watches in a row only, since they repeat six times a second while the store is unavailable; owner_load counts them all.

--- a/src/process/work_pacer.cpp
+++ b/src/process/work_pacer.cpp
@@ -11,7 +11,8 @@
 constexpr milliseconds late_after{40};
 constexpr milliseconds on_time_within{15};
 constexpr milliseconds first_pause{150};
-// Reports at this distance still renew every lease several times before it expires.
+// Together with the time for which an upstream holds a poll, leases are still renewed before half of them has
+// passed.
 constexpr milliseconds max_pause{900};
 // An increase takes effect only after the calls in flight have ended.
 constexpr milliseconds increase_interval{300};
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -295,11 +295,15 @@
 void cell_owner::record_watch(const absl::StatusOr<store_changes>& changes, time_point::duration time) {
     {
         std::lock_guard lock(mutex_);
+        const bool was_failing = std::exchange(is_job_watch_failing_, !changes.ok());
         if (changes.ok()) {
             load_.add_watch(time, changes->changes.size());
             return;
         }
         load_.add_failed_watch();
+        if (was_failing) {
+            return;
+        }
     }
     LOG(WARNING) << "event=job_watch_failed token=" << claim_.row.token
                  << " after_ms=" << std::chrono::duration_cast<milliseconds>(time).count() << " error=\""
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -127,6 +127,8 @@
     cell_scheduler scheduler_;
     owner_load load_;
     std::size_t starts_in_flight_ = 0;
+    // The last read of changed jobs failed. Only the first of several failures in a row is logged.
+    bool is_job_watch_failing_ = false;
     work_pacer pacer_;
     std::set<upstream_id> polled_upstreams_;
     bool is_over_ = false;
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -112,12 +112,6 @@
     return decisions;
 }
 
-bool cell_scheduler::is_takeover_resolved(time_point now) const {
-    return std::all_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
-        return entry.second.has_responded || entry.second.is_lost(now);
-    });
-}
-
 std::vector<job_record*> cell_scheduler::sort_waiting_jobs(time_point now) {
     std::vector<std::pair<job_rank, job_record*>> ranked;
     for (const auto& id : waiting_jobs_) {
@@ -504,24 +498,4 @@
     }
 }
 
-std::vector<queue_status> cell_scheduler::get_queue_statuses() const {
-    std::map<std::string, queue_status> statuses;
-    if (config_) {
-        for (const auto& queue : config_->queues) {
-            statuses[queue.rules.queue].queue = queue.rules.queue;
-        }
-    }
-    for (const auto& [id, job] : jobs_) {
-        auto& status = statuses[job.job->rules.queue];
-        status.queue = job.job->rules.queue;
-        status.pending += job.has_started || is_final(job.pending_end) ? 0 : 1;
-    }
-    std::vector<queue_status> list;
-    list.reserve(statuses.size());
-    for (auto& [name, status] : statuses) {
-        list.push_back(status);
-    }
-    return list;
-}
-
 }  // namespace jacinthvane
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -215,7 +215,7 @@
     if (row.how == run_end::done && !spec.is_long_running && task->phase != task_phase::done) {
         // Also the end of an earlier run: its work is done, so a later one is superfluous.
         upstream.health.record_success();
-        stop_superseding_runs(*job, upstream, row, now);
+        stop_superfluous_runs(*job, upstream, row, now);
         job->has_started = true;
         finish_task(*job, row.task, now);
         return;
@@ -247,15 +247,15 @@
     requeue_task(*job, row.task, now);
 }
 
-void cell_scheduler::stop_superseding_runs(job_record& job, const upstream_ledger& upstream,
+void cell_scheduler::stop_superfluous_runs(job_record& job, const upstream_ledger& upstream,
                                            const ended_row& row, time_point now) {
     const bool is_gang = job.job->spec.steps[row.task.step].is_gang;
     auto& tasks = job.find_step(row.task.get_step())->tasks;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const auto& task = tasks[i];
-        const bool is_superseding =
+        const bool is_superfluous =
             task.last_run != row.run || (i == row.task.index && task.upstream != upstream.entry.id);
-        if ((i != row.task.index && !is_gang) || task.phase != task_phase::active || !is_superseding) {
+        if ((i != row.task.index && !is_gang) || task.phase != task_phase::active || !is_superfluous) {
             continue;
         }
         const auto found = upstreams_.find(task.upstream);
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -324,4 +324,30 @@
     }
 }
 
+std::vector<queue_status> cell_scheduler::get_queue_statuses() const {
+    std::map<std::string, queue_status> statuses;
+    if (config_) {
+        for (const auto& queue : config_->queues) {
+            statuses[queue.rules.queue].queue = queue.rules.queue;
+        }
+    }
+    for (const auto& [id, job] : jobs_) {
+        auto& status = statuses[job.job->rules.queue];
+        status.queue = job.job->rules.queue;
+        status.pending += job.has_started || is_final(job.pending_end) ? 0 : 1;
+    }
+    std::vector<queue_status> list;
+    list.reserve(statuses.size());
+    for (auto& [name, status] : statuses) {
+        list.push_back(status);
+    }
+    return list;
+}
+
+bool cell_scheduler::is_takeover_resolved(time_point now) const {
+    return std::all_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+        return entry.second.has_responded || entry.second.is_lost(now);
+    });
+}
+
 }  // namespace jacinthvane
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -267,7 +267,7 @@
     // task.
     void release_run(upstream_ledger& upstream, run_key key, time_point now);
     // Stops later runs of a task, or of its gang, of which an earlier run has turned out to be done.
-    void stop_superseding_runs(job_record& job, const upstream_ledger& upstream, const ended_row& row,
+    void stop_superfluous_runs(job_record& job, const upstream_ledger& upstream, const ended_row& row,
                                time_point now);
     void requeue_task(job_record& job, const task_ref& task, time_point not_before);
     void finish_task(job_record& job, const task_ref& task, time_point now);
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -167,7 +167,7 @@
     for (int step = 0; step < 20000; ++step) {
         const auto now = start + milliseconds(step * 5);
         const auto work_class = pick_below(random, 2) == 0 ? task_class::urgent : task_class::batch;
-        // Drawn one by one: the order in which arguments are evaluated depends on the processor architecture.
+        // Drawn one by one: the order in which arguments are evaluated depends on the compiler.
         const auto team = "t" + std::to_string(pick_below(random, 6));
         const milliseconds time_left(100 + pick_below(random, 1000));
         const auto request = make_request(++ticket, team, work_class, now, time_left);
