--- a/experiment/owner_bench.cpp
+++ b/experiment/owner_bench.cpp
@@ -123,12 +123,13 @@
 
 // Submits the jobs of one second at even intervals.
 void submit_for_one_second(owner_process& owner, std::size_t& number, std::size_t jobs) {
-    auto next = std::chrono::steady_clock::now();
+    asio::io_context context;
+    asio::steady_timer next(context, std::chrono::steady_clock::now());
     for (std::size_t i = 0; i < jobs; ++i) {
         owner.submit(number, number % 3 == 0 ? make_short_spec(number) : make_best_effort_spec(number));
         ++number;
-        next += milliseconds(1000) / static_cast<std::int64_t>(jobs);
-        std::this_thread::sleep_until(next);
+        next.expires_at(next.expiry() + milliseconds(1000) / static_cast<std::int64_t>(jobs));
+        next.wait();
     }
 }
 
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -17,6 +17,11 @@
     }
 }
 
+// Returns the one of two upstreams that runs something.
+const upstream_entry& get_busy(const cell_fixture& cell) {
+    return cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(cell_scheduler)
@@ -95,8 +100,7 @@
     cell_fixture cell(2);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 20000);
     cell.run_for(seconds(1));
-    const auto& busy =
-        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& busy = get_busy(cell);
     cell.upstreams.set_partitioned(busy.id, true);
     cell.run_for(seconds(5));
     BOOST_TEST(cell.upstreams.get_start_count() == 1U);
@@ -111,8 +115,7 @@
     cell_fixture cell(2);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 1500);
     cell.run_for(seconds(1));
-    const auto& busy =
-        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& busy = get_busy(cell);
     cell.upstreams.set_partitioned(busy.id, true);
     cell.run_for(seconds(1));
     // The process does not get to poll the upstream until long after the leases have expired.
@@ -147,8 +150,7 @@
     cell_fixture cell(2);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 1500);
     cell.run_for(seconds(1));
-    const auto& busy =
-        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& busy = get_busy(cell);
     cell.is_polling = false;
     cell.run_for(seconds(10));
     cell.scheduler->mark_unresponsive(busy.id, cell.clock->get_now());
@@ -166,8 +168,7 @@
     cell_fixture cell(2);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 1500);
     cell.run_for(seconds(1));
-    const auto& busy =
-        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& busy = get_busy(cell);
     cell.upstreams.set_partitioned(busy.id, true);
     cell.may_start = false;
     cell.run_for(seconds(10));
@@ -230,8 +231,7 @@
     cell_fixture cell(2);
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 4000);
     cell.run_for(seconds(1));
-    const auto& busy =
-        cell.upstreams.count_running(cell.entries[0].id) > 0 ? cell.entries[0] : cell.entries[1];
+    const auto& busy = get_busy(cell);
     const auto& other = busy.id == cell.entries[0].id ? cell.entries[1] : cell.entries[0];
     cell.upstreams.set_partitioned(busy.id, true);
     while (cell.upstreams.get_start_count() < 2) {
