--- a/tests/cpu_limit_plan_test.cpp
+++ b/tests/cpu_limit_plan_test.cpp
@@ -103,9 +103,9 @@
         model.apply_snapshot(snapshot);
         const std::vector<serving_budget> servings = {{image(random), budget(random)},
                                                       {image(random), budget(random)}};
-        std::vector<best_effort_use> tasks;
-        for (int i = 0; i < 4; ++i) {
-            tasks.push_back({image(random), share(random)});
+        std::vector<best_effort_use> tasks(4);
+        for (auto& task : tasks) {
+            task = {image(random), share(random)};
         }
         const auto before = plan_cpu_limits(model, servings, tasks, 1.0);
         const best_effort_use added{image(random), share(random)};
