Judge responses in the HTTP client only, and remove a time that nobody reads

The check whether a response belongs to its request was declared twice, in the client and in the connection that it passed through. The connection carries bytes; the client drops the connection whose response fails the check, as before. responded_at of an upstream was only written since the ledger counts failed polls.

--- a/src/connection/client_connection.cpp
+++ b/src/connection/client_connection.cpp
@@ -211,9 +211,11 @@
     co_return error;
 }
 
-awaitable<absl::StatusOr<http_response>> client_connection::exchange(
-    asio::ip::tcp::endpoint endpoint, std::string address, http_request request, time_point deadline,
-    time_point write_before, response_check is_expected) {
+awaitable<absl::StatusOr<http_response>> client_connection::exchange(asio::ip::tcp::endpoint endpoint,
+                                                                     std::string address,
+                                                                     http_request request,
+                                                                     time_point deadline,
+                                                                     time_point write_before) {
     const auto send_deadline = std::min(write_before, deadline);
     if (std::chrono::steady_clock::now() >= send_deadline) {
         co_return make_delayed_error(address);
@@ -248,13 +250,8 @@
     }
     auto received = parser.release();
     // Bytes after the response belong to no request of this client.
-    const bool is_kept_alive = received.keep_alive() && buffer_.size() == 0;
-    auto response = from_beast(std::move(received));
-    if (is_expected && !is_expected(response)) {
-        co_return make_error(error_kind::upstream_lost, address + " sent the response to another request");
-    }
-    is_open_ = is_kept_alive;
-    co_return response;
+    is_open_ = received.keep_alive() && buffer_.size() == 0;
+    co_return from_beast(std::move(received));
 }
 
 }  // namespace jacinthvane
--- a/src/connection/client_connection.hpp
+++ b/src/connection/client_connection.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <functional>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -19,15 +18,12 @@
 // turns of the event loop.
 class client_connection {
 public:
-    // Returns whether a response belongs to the request, and not to another one.
-    using response_check = std::function<bool(const http_response&)>;
-
     explicit client_connection(asio::io_context& context);
 
     // Connects if necessary, sends the request and reads its response. See http_client::fetch.
     awaitable<absl::StatusOr<http_response>> exchange(asio::ip::tcp::endpoint endpoint, std::string address,
                                                       http_request request, time_point deadline,
-                                                      time_point write_before, response_check is_expected);
+                                                      time_point write_before);
 
     // Whether the connection can be used for another exchange.
     bool is_open() const { return is_open_; }
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -129,8 +129,12 @@
         co_return acquired.status();
     }
     auto connection = std::move(*acquired);
-    auto result = co_await connection->exchange(*endpoint, address, std::move(request), deadline,
-                                                write_before, std::move(is_expected));
+    auto result =
+        co_await connection->exchange(*endpoint, address, std::move(request), deadline, write_before);
+    if (result.ok() && is_expected && !is_expected(*result)) {
+        result = make_error(error_kind::upstream_lost, address + " sent the response to another request");
+        connection.reset();
+    }
     release(address, std::move(connection));
     co_return result;
 }
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -94,7 +94,6 @@
     bool has_responded = false;
     // The last poll got no response.
     bool is_unresponsive = false;
-    time_point responded_at;
     // Polls in a row that were sent after the leases had expired and returned no list.
     std::uint32_t failed_polls_after_expiry = 0;
     // Earliest time at which a leaving upstream may be removed.
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -174,7 +174,6 @@
     }
     upstream.is_unresponsive = false;
     upstream.failed_polls_after_expiry = 0;
-    upstream.responded_at = now;
     upstream.clock_ms = report.clock_ms;
     upstream.clock_read_at = now;
     for (const auto& row : report.ended) {
