Use the project's wait and one check in the tests of the HTTP client

sleep_until did what wait_until of async_signal does. Three tests ended with the same three checks of a lost call; these stand in check_lost, unchanged.

--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "connection/async_signal.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
 #include "connection/spawn_task.hpp"
@@ -131,12 +132,6 @@
     co_await asio::async_write(socket, asio::buffer(text), asio::redirect_error(asio::use_awaitable, error));
 }
 
-awaitable<void> sleep_until(tcp::socket& socket, time_point end) {
-    asio::steady_timer timer(socket.get_executor(), end);
-    boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
-}
-
 std::string make_response(const std::string& body) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -164,6 +159,14 @@
     return get_name(get_run_knowledge(result.status()));
 }
 
+// Checks that a call which has just ended was lost, and that it ended at its deadline.
+void check_lost(const call_result& result, time_point deadline) {
+    const auto ended = std::chrono::steady_clock::now();
+    BOOST_TEST(describe(result) == "upstream_lost");
+    BOOST_TEST(get_run_name(result) == "may-have-run");
+    BOOST_TEST((ended >= deadline && ended < deadline + std::chrono::seconds(1)));
+}
+
 // Makes the calls at the same time and returns their results.
 std::vector<call_result> call_at_once(asio::io_context& context, http_client& client,
                                       const std::string& address, std::size_t count, time_point deadline) {
@@ -221,7 +224,7 @@
         const auto response = make_response(body);
         co_await send(socket, response);
         sent = std::chrono::steady_clock::now();
-        co_await sleep_until(socket, deadline + milliseconds(20));
+        co_await wait_until(deadline + milliseconds(20));
         passed.set_value();
         co_await read_until_end(socket);
     });
@@ -319,7 +322,7 @@
     std::promise<std::string> received;
     raw_server server([&](tcp::socket& socket, int) -> awaitable<void> {
         blocked.get_future().wait_for(max_wait);
-        co_await sleep_until(socket, deadline + milliseconds(20));
+        co_await wait_until(deadline + milliseconds(20));
         passed.set_value();
         received.set_value(co_await read_until_end(socket));
     });
@@ -383,31 +386,23 @@
     http_client client(context, 1);
     const auto deadline = after(milliseconds(100));
     const auto result = call(context, client, server.get_address(), deadline);
-    const auto ended = std::chrono::steady_clock::now();
-    BOOST_TEST(describe(result) == "upstream_lost");
-    BOOST_TEST(get_run_name(result) == "may-have-run");
-    BOOST_TEST((ended >= deadline && ended < deadline + std::chrono::seconds(1)));
+    check_lost(result, deadline);
 }
 
 // Guards against bytes that only the kernel of a halted server accepted being taken for a sign of life.
 BOOST_AUTO_TEST_CASE(server_that_accepts_and_never_reads_is_lost) {
     asio::io_context context;
-    raw_server server(
-        [](tcp::socket& socket, int) -> awaitable<void> { co_await sleep_until(socket, after_seconds(60)); });
+    raw_server server([](tcp::socket&, int) -> awaitable<void> { co_await wait_until(after_seconds(60)); });
     http_client client(context, 1);
     const auto deadline = after(milliseconds(100));
     const auto result = call(context, client, server.get_address(), deadline);
-    const auto ended = std::chrono::steady_clock::now();
-    BOOST_TEST(describe(result) == "upstream_lost");
-    BOOST_TEST(get_run_name(result) == "may-have-run");
-    BOOST_TEST((ended >= deadline && ended < deadline + std::chrono::seconds(1)));
+    check_lost(result, deadline);
 }
 
 // Guards against a server that does not take a large request being excused as a delay of this process.
 BOOST_AUTO_TEST_CASE(server_that_never_reads_a_large_request_is_lost) {
     asio::io_context context;
-    raw_server server(
-        [](tcp::socket& socket, int) -> awaitable<void> { co_await sleep_until(socket, after_seconds(60)); });
+    raw_server server([](tcp::socket&, int) -> awaitable<void> { co_await wait_until(after_seconds(60)); });
     http_client client(context, 1);
     http_request request;
     request.method = "POST";
@@ -415,10 +410,7 @@
     // Leaves time to copy the body under a sanitizer, before any of it is written.
     const auto deadline = after_seconds(3);
     const auto result = call(context, client, server.get_address(), deadline, request);
-    const auto ended = std::chrono::steady_clock::now();
-    BOOST_TEST(describe(result) == "upstream_lost");
-    BOOST_TEST(get_run_name(result) == "may-have-run");
-    BOOST_TEST((ended >= deadline && ended < deadline + std::chrono::seconds(1)));
+    check_lost(result, deadline);
 }
 
 // Guards against a call that waits without an end for the rest of a response, and against a connection whose
@@ -556,12 +548,12 @@
     raw_server server([&](tcp::socket& socket, int) -> awaitable<void> {
         std::vector<char> part(256U << 10U);
         boost::system::error_code error;
-        co_await sleep_until(socket, after(milliseconds(50)));
+        co_await wait_until(after(milliseconds(50)));
         while (!error && !received.ends_with("\r\n\r\n" + request.body)) {
             const auto size = co_await socket.async_read_some(
                 asio::buffer(part), asio::redirect_error(asio::use_awaitable, error));
             received.append(part.data(), size);
-            co_await sleep_until(socket, after(milliseconds(1)));
+            co_await wait_until(after(milliseconds(1)));
         }
         const auto response = make_response("taken");
         co_await send(socket, response);
