--- a/src/connection/client_connection.cpp
+++ b/src/connection/client_connection.cpp
@@ -94,7 +94,8 @@
     exchange_timer& operator=(const exchange_timer&) = delete;
 
     void set_connected() { state_->is_connected = true; }
-    void set_read_begun() { state_->has_read_begun = true; }
+    void add_received(std::size_t bytes) { state_->received_bytes += bytes; }
+    std::size_t get_received_bytes() const { return state_->received_bytes; }
     bool has_expired() const { return state_->has_expired; }
     // Whether the call failed because of this process: it left a connection or a response unattended.
     bool is_own_delay() const { return state_->has_expired && state_->is_own_delay; }
@@ -108,7 +109,8 @@
         asio::steady_timer timer;
         bool is_finished = false;
         bool is_connected = false;
-        bool has_read_begun = false;
+        // Bytes of the response that have been read.
+        std::size_t received_bytes = 0;
         // The deadline has passed, and the response that has begun to arrive is still read.
         bool is_read_late = false;
         bool has_expired = false;
@@ -126,7 +128,7 @@
 
     static void expire(const std::shared_ptr<shared_state>& state) {
         const bool has_unhandled_data = has_arrived(*state);
-        const bool has_response = state->is_connected && (has_unhandled_data || state->has_read_begun);
+        const bool has_response = state->is_connected && (has_unhandled_data || state->received_bytes > 0);
         if (has_response && !state->is_read_late) {
             state->is_read_late = true;
             wait(state, std::chrono::steady_clock::now() + late_read_grace);
@@ -200,7 +202,7 @@
         if (error) {
             co_return error;
         }
-        timer.set_read_begun();
+        timer.add_received(received);
         buffer_.commit(received);
         buffer_.consume(parser.put(buffer_.data(), error));
         if (error && error != http::error::need_more) {
@@ -246,7 +248,8 @@
     if (error || timer.has_expired()) {
         const auto kind = timer.is_own_delay() ? error_kind::call_delayed : error_kind::upstream_lost;
         const auto reason = timer.has_expired() ? std::string("the deadline passed") : error.message();
-        co_return make_error(kind, "call to " + address + " failed: " + reason);
+        co_return make_error(kind, "call to " + address + " failed: " + reason + " after " +
+                                       std::to_string(timer.get_received_bytes()) + " bytes of the response");
     }
     auto received = parser.release();
     // Bytes after the response belong to no request of this client.
--- a/src/process/owner_load.cpp
+++ b/src/process/owner_load.cpp
@@ -44,6 +44,11 @@
     unsent_orders_ += is_sent ? 0 : 1;
 }
 
+void owner_load::add_query(std::uint64_t bytes) {
+    ++queries_;
+    query_bytes_ += bytes;
+}
+
 std::string owner_load::take_fields() {
     std::ostringstream text;
     text << "timer_late_max_ms=" << to_ms(timers_.longest);
@@ -57,6 +62,7 @@
     text << " polls_silent=" << silent_polls_ << " polls_late=" << late_polls_;
     write(text, "orders", orders_);
     text << " orders_unsent=" << unsent_orders_ << " orders_in_flight=" << orders_in_flight_;
+    text << " queries=" << queries_ << " query_bytes=" << query_bytes_;
     const auto in_flight = orders_in_flight_;
     *this = owner_load();
     orders_in_flight_ = in_flight;
--- a/src/process/owner_load.hpp
+++ b/src/process/owner_load.hpp
@@ -33,6 +33,8 @@
     // Polls that failed because the upstream did not respond, and because this process was late.
     void add_silent_poll() { ++silent_polls_; }
     void add_late_poll() { ++late_polls_; }
+    // Answered a query of another process with a response of this size.
+    void add_query(std::uint64_t bytes);
     void begin_order() { ++orders_in_flight_; }
     void end_order(time_point::duration time, bool is_sent);
 
@@ -55,6 +57,8 @@
     std::uint64_t late_polls_ = 0;
     std::uint64_t unsent_orders_ = 0;
     std::uint64_t orders_in_flight_ = 0;
+    std::uint64_t queries_ = 0;
+    std::uint64_t query_bytes_ = 0;
 };
 
 }  // namespace jacinthvane
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -155,6 +155,12 @@
         const bool is_revision_unavailable =
             !state.ok() && get_error_kind(state.status()) == error_kind::version_conflict;
         record_store_call(state.ok() || is_revision_unavailable);
+        if (!state.ok()) {
+            const auto read_time = std::chrono::steady_clock::now() - started_at;
+            LOG(WARNING) << "event=config_read_failed full=" << needs_read
+                         << " after_ms=" << std::chrono::duration_cast<milliseconds>(read_time).count()
+                         << " error=\"" << state.status().message() << "\"";
+        }
         if (state.ok()) {
             if (needs_read) {
                 std::lock_guard lock(mutex_);
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -85,6 +85,11 @@
     return scheduler_.get_queue_statuses();
 }
 
+void cell_owner::record_query(std::size_t response_bytes) {
+    std::lock_guard lock(mutex_);
+    load_.add_query(response_bytes);
+}
+
 void cell_owner::end(const std::string& reason) {
     {
         std::lock_guard lock(mutex_);
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -59,6 +59,8 @@
     std::uint64_t get_token() const { return claim_.row.token; }
     std::optional<job_phase> get_state(const job_id& id, const std::string& queue) const;
     std::vector<queue_status> get_queue_statuses() const;
+    // Records that a query of another process was answered with a response of this size.
+    void record_query(std::size_t response_bytes);
     // Returns a readable dump for operators.
     std::string dump_state() const;
 
--- a/src/request/peer_queries.cpp
+++ b/src/request/peer_queries.cpp
@@ -42,6 +42,30 @@
     return {{"queue", status.queue}, {"pending", status.pending}};
 }
 
+http_response respond_as_owner(const http_request& request, const cell_owner& owner) {
+    if (request.get_path() == job_path) {
+        const auto state = owner.get_state(job_id(request.get_query("job")), request.get_query("queue"));
+        if (!state) {
+            return make_response(not_found_status, {{"message", "no such job"}});
+        }
+        return make_response(ok_status, {{"state", get_name(*state)}});
+    }
+    if (request.get_path() == status_path) {
+        json queues = json::array();
+        for (const auto& status : owner.get_queue_statuses()) {
+            queues.push_back(make_queue_json(status));
+        }
+        return make_response(ok_status, {{"queues", std::move(queues)}});
+    }
+    if (request.get_path() == dump_path) {
+        http_response response;
+        response.headers["Content-Type"] = "text/plain";
+        response.body = owner.dump_state();
+        return response;
+    }
+    return make_response(not_found_status, {{"message", "there is no such query"}});
+}
+
 }  // namespace
 
 http_request make_state_query(const std::string& queue, const job_id& id) {
@@ -105,27 +129,9 @@
     if (owner == nullptr || !owner->is_loaded()) {
         return make_response(not_owner_status, {{"message", "this process does not own the cell"}});
     }
-    if (request.get_path() == job_path) {
-        const auto state = owner->get_state(job_id(request.get_query("job")), request.get_query("queue"));
-        if (!state) {
-            return make_response(not_found_status, {{"message", "no such job"}});
-        }
-        return make_response(ok_status, {{"state", get_name(*state)}});
-    }
-    if (request.get_path() == status_path) {
-        json queues = json::array();
-        for (const auto& status : owner->get_queue_statuses()) {
-            queues.push_back(make_queue_json(status));
-        }
-        return make_response(ok_status, {{"queues", std::move(queues)}});
-    }
-    if (request.get_path() == dump_path) {
-        http_response response;
-        response.headers["Content-Type"] = "text/plain";
-        response.body = owner->dump_state();
-        return response;
-    }
-    return make_response(not_found_status, {{"message", "there is no such query"}});
+    auto response = respond_as_owner(request, *owner);
+    owner->record_query(response.body.size());
+    return response;
 }
 
 }  // namespace jacinthvane
