--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -56,7 +56,7 @@
 
 }  // namespace
 
-time_point link_direction::schedule(std::int64_t bytes, const link_faults& faults, time_point now) {
+time_point relayed_direction::schedule(std::int64_t bytes, const link_faults& faults, time_point now) {
     std::lock_guard lock(mutex_);
     bytes_ += static_cast<std::uint64_t>(bytes);
     if (faults.bytes_per_second > 0) {
@@ -91,8 +91,8 @@
     std::atomic<std::uint64_t> dropped_bytes = 0;
     std::atomic<std::uint64_t> refused_connections = 0;
     async_signal faults_changed;
-    link_direction forward;
-    link_direction backward;
+    relayed_direction forward;
+    relayed_direction backward;
 };
 
 namespace {
--- a/standin/link_relay.hpp
+++ b/standin/link_relay.hpp
@@ -29,7 +29,7 @@
 };
 
 // One direction of a relay: schedules deliveries within the byte rate and counts the bytes.
-class link_direction {
+class relayed_direction {
 public:
     // Returns the time at which the given bytes are delivered, and charges them to the byte rate.
     time_point schedule(std::int64_t bytes, const link_faults& faults, time_point now);
--- a/tests/link_relay_test.cpp
+++ b/tests/link_relay_test.cpp
@@ -73,7 +73,7 @@
 
 // Guards against a byte rate that is applied per connection instead of per direction of the link.
 BOOST_AUTO_TEST_CASE(rate_is_shared_by_the_direction) {
-    link_direction direction;
+    relayed_direction direction;
     link_faults faults;
     faults.bytes_per_second = 1000;
     const time_point now(std::chrono::hours(1));
