--- a/src/connection/client_connection.cpp
+++ b/src/connection/client_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -22,8 +23,11 @@
 // first amount holds most responses with their header, the second bounds the buffer for long bodies.
 constexpr std::size_t initial_buffer_bytes = 4U << 10U;
 constexpr std::size_t max_buffer_bytes = 64U << 10U;
-// How long a response that has begun to arrive is still read after the deadline.
+// How long a response that has begun to arrive is still read after the deadline, and again after each such
+// time in which more of it has arrived.
 constexpr std::chrono::milliseconds late_read_grace{1000};
+// Longest time after the deadline for which a response is read while it arrives.
+constexpr std::chrono::milliseconds max_late_read{30000};
 
 std::string serialize(const http_request& request, const std::string& address) {
     http::request<http::string_body> message;
@@ -82,8 +86,11 @@
 // Runs on the strand of the exchange.
 class client_connection::exchange_timer {
 public:
-    exchange_timer(const asio::any_io_executor& strand, asio::ip::tcp::socket& socket, time_point deadline)
+    exchange_timer(const asio::any_io_executor& strand, asio::ip::tcp::socket& socket, time_point deadline,
+                   late_response late)
         : state_(std::make_shared<shared_state>(strand, socket)) {
+        state_->latest_read =
+            deadline + (late == late_response::read_while_arriving ? max_late_read : late_read_grace);
         wait(state_, deadline);
     }
     ~exchange_timer() {
@@ -111,8 +118,10 @@
         bool is_connected = false;
         // Bytes of the response that have been read.
         std::size_t received_bytes = 0;
-        // The deadline has passed, and the response that has begun to arrive is still read.
-        bool is_read_late = false;
+        // The response is not read after this time, although more of it may arrive.
+        time_point latest_read;
+        // Bytes that had been read when the deadline passed, or a later grace began; nothing before.
+        std::optional<std::size_t> late_bytes;
         bool has_expired = false;
         bool is_own_delay = false;
     };
@@ -129,9 +138,11 @@
     static void expire(const std::shared_ptr<shared_state>& state) {
         const bool has_unhandled_data = has_arrived(*state);
         const bool has_response = state->is_connected && (has_unhandled_data || state->received_bytes > 0);
-        if (has_response && !state->is_read_late) {
-            state->is_read_late = true;
-            wait(state, std::chrono::steady_clock::now() + late_read_grace);
+        const bool is_arriving = has_unhandled_data || state->received_bytes > state->late_bytes.value_or(0);
+        const auto now = std::chrono::steady_clock::now();
+        if (has_response && (!state->late_bytes || (is_arriving && now < state->latest_read))) {
+            state->late_bytes = state->received_bytes;
+            wait(state, now + late_read_grace);
             return;
         }
         state->has_expired = true;
@@ -213,17 +224,15 @@
     co_return error;
 }
 
-awaitable<absl::StatusOr<http_response>> client_connection::exchange(asio::ip::tcp::endpoint endpoint,
-                                                                     std::string address,
-                                                                     http_request request,
-                                                                     time_point deadline,
-                                                                     time_point write_before) {
+awaitable<absl::StatusOr<http_response>> client_connection::exchange(
+    asio::ip::tcp::endpoint endpoint, std::string address, http_request request, time_point deadline,
+    time_point write_before, late_response late) {
     const auto send_deadline = std::min(write_before, deadline);
     if (std::chrono::steady_clock::now() >= send_deadline) {
         co_return make_delayed_error(address);
     }
     const auto strand = co_await asio::this_coro::executor;
-    exchange_timer timer(strand, socket_, deadline);
+    exchange_timer timer(strand, socket_, deadline, late);
     boost::system::error_code error;
     if (!is_open_) {
         co_await socket_.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
--- a/src/connection/client_connection.hpp
+++ b/src/connection/client_connection.hpp
@@ -8,6 +8,7 @@
 
 #include "absl/status/statusor.h"
 #include "connection/asio.hpp"
+#include "connection/http_client.hpp"
 #include "connection/http_message.hpp"
 #include "process/clock.hpp"
 
@@ -23,7 +24,7 @@
     // Connects if necessary, sends the request and reads its response. See http_client::fetch.
     awaitable<absl::StatusOr<http_response>> exchange(asio::ip::tcp::endpoint endpoint, std::string address,
                                                       http_request request, time_point deadline,
-                                                      time_point write_before);
+                                                      time_point write_before, late_response late);
 
     // Whether the connection can be used for another exchange.
     bool is_open() const { return is_open_; }
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -116,22 +116,25 @@
 }
 
 awaitable<absl::StatusOr<http_response>> http_client::fetch(std::string address, http_request request,
-                                                            time_point deadline, time_point write_before,
-                                                            response_check is_expected,
-                                                            connection_choice choice) {
+                                                            time_point deadline) {
+    return fetch(std::move(address), std::move(request), deadline, call_options());
+}
+
+awaitable<absl::StatusOr<http_response>> http_client::fetch(std::string address, http_request request,
+                                                            time_point deadline, call_options options) {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint) {
         co_return make_error(error_kind::upstream_unreachable,
                              "\"" + address + "\" is not an IP address and port");
     }
-    auto acquired = co_await acquire(address, deadline, choice);
+    auto acquired = co_await acquire(address, deadline, options.choice);
     if (!acquired.ok()) {
         co_return acquired.status();
     }
     auto connection = std::move(*acquired);
-    auto result =
-        co_await connection->exchange(*endpoint, address, std::move(request), deadline, write_before);
-    if (result.ok() && is_expected && !is_expected(*result)) {
+    auto result = co_await connection->exchange(*endpoint, address, std::move(request), deadline,
+                                                options.write_before, options.late);
+    if (result.ok() && options.is_expected && !options.is_expected(*result)) {
         result = make_error(error_kind::upstream_lost, address + " sent the response to another request");
         connection.reset();
     }
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -22,15 +22,31 @@
 // before, whereas a new one may lead to another process that now listens at the same address.
 enum class connection_choice { any, reused };
 
+// What happens to a response that has begun to arrive when the deadline passes: it is read for a short while,
+// or for as long as more of it arrives. A large response would otherwise be discarded and requested again
+// from its beginning on a link that needs longer for it.
+enum class late_response { read_briefly, read_while_arriving };
+
+// Returns whether a response belongs to the request, and not to another one.
+using response_check = std::function<bool(const http_response&)>;
+
+// How a call differs from the usual one.
+struct call_options {
+    // A request whose connection is not ready before this time is not sent (call_delayed if the connection
+    // was open, and upstream_unreachable if it could not be opened).
+    time_point write_before = time_point::max();
+    // A response that fails the check is discarded and its connection is closed (upstream_lost).
+    response_check is_expected;
+    connection_choice choice = connection_choice::any;
+    late_response late = late_response::read_briefly;
+};
+
 // Sends HTTP/1.1 requests over persistent connections, with a maximum number of connections per address. A
 // connection that fails or exceeds a deadline is closed and never reused, so an unresponsive connection
 // affects only one call. A response that has begun to arrive when the deadline passes is still read for a
 // short while, since a busy process would otherwise discard responses and send the same requests again.
 class http_client {
 public:
-    // Returns whether a response belongs to the request, and not to another one.
-    using response_check = std::function<bool(const http_response&)>;
-
     http_client(asio::io_context& context, std::size_t max_connections_per_address);
     ~http_client();
 
@@ -40,14 +56,10 @@
     // Sends the request to "address:port". Errors: upstream_unreachable (known not to have been sent),
     // upstream_lost (may have been executed), call_delayed (this process was too slow, so the error says
     // nothing about the other side). Waits for a free connection until the deadline.
-    // A request whose connection is not ready before write_before is not sent (call_delayed if the connection
-    // was open, and upstream_unreachable if it could not be opened). A
-    // response that fails is_expected is discarded and its connection is closed (upstream_lost).
     awaitable<absl::StatusOr<http_response>> fetch(std::string address, http_request request,
-                                                   time_point deadline,
-                                                   time_point write_before = time_point::max(),
-                                                   response_check is_expected = {},
-                                                   connection_choice choice = connection_choice::any);
+                                                   time_point deadline);
+    awaitable<absl::StatusOr<http_response>> fetch(std::string address, http_request request,
+                                                   time_point deadline, call_options options);
 
     // Returns whether a call with connection_choice::reused could be sent now.
     bool has_idle_connection(const std::string& address);
--- a/src/connection/upstream_client.cpp
+++ b/src/connection/upstream_client.cpp
@@ -33,7 +33,7 @@
 }
 
 // Returns a check that the response is for the task. Errors of the HTTP layer itself (400, 413) name no task.
-http_client::response_check make_task_check(const task_id& task) {
+response_check make_task_check(const task_id& task) {
     return [task](const http_response& response) {
         const auto named = response.get_header("X-Task");
         const bool may_lack_name = response.status == 400 || response.status == 413;
@@ -79,9 +79,9 @@
                                                         task_attempt attempt, const char* action,
                                                         task_call call, time_point deadline) {
     auto request = make_request("POST", make_task_target(attempt.task, action), encode_task_call(call));
-    auto check = make_task_check(attempt.task);
-    auto fetched = co_await client.fetch(upstream.address, std::move(request), deadline, time_point::max(),
-                                         std::move(check));
+    call_options options;
+    options.is_expected = make_task_check(attempt.task);
+    auto fetched = co_await client.fetch(upstream.address, std::move(request), deadline, std::move(options));
     if (!fetched.ok()) {
         co_return fetched.status();
     }
@@ -174,9 +174,11 @@
 awaitable<absl::StatusOr<start_result>> http_upstream::start(upstream_record upstream, start_call call,
                                                              time_point deadline, time_point write_before) {
     auto request = make_request("POST", "/v1/tasks", encode_start(call));
-    auto check = make_task_check(call.task);
-    auto fetched = co_await start_client_.fetch(upstream.address, std::move(request), deadline, write_before,
-                                                std::move(check));
+    call_options options;
+    options.write_before = write_before;
+    options.is_expected = make_task_check(call.task);
+    auto fetched =
+        co_await start_client_.fetch(upstream.address, std::move(request), deadline, std::move(options));
     if (!fetched.ok()) {
         co_return fetched.status();
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -441,6 +441,43 @@
     BOOST_TEST(server.get_accepted() == 3);
 }
 
+// Guards against a large response that is requested again from its beginning on a slow link, without end:
+// while more of it arrives it is read, and once nothing arrives the call ends.
+BOOST_AUTO_TEST_CASE(response_that_arrives_slowly_is_read_whole_if_the_call_asks_for_it) {
+    asio::io_context context;
+    const std::string whole = make_response(make_large_body(2500));
+    raw_server server([&](tcp::socket& socket, int number) -> awaitable<void> {
+        co_await read_header(socket);
+        const bool is_stalling = number == 3;
+        for (std::size_t sent = 0; sent < (is_stalling ? whole.size() / 2 : whole.size()); sent += 100) {
+            const std::string part = whole.substr(sent, 100);
+            co_await send(socket, part);
+            co_await wait_until(after(milliseconds(100)));
+        }
+        co_await read_until_end(socket);
+    });
+    http_client client(context, 1);
+    const auto fetch = [&](late_response late) {
+        call_result result;
+        const auto call_late = [&]() -> awaitable<void> {
+            const http_request request;
+            call_options options;
+            options.late = late;
+            result = co_await client.fetch(server.get_address(), request, after(milliseconds(300)), options);
+        };
+        spawn_task(context, "call", call_late());
+        context.restart();
+        context.run();
+        return result;
+    };
+    BOOST_TEST(!fetch(late_response::read_briefly).ok());
+    BOOST_TEST(describe(fetch(late_response::read_while_arriving)) == "response " + make_large_body(2500));
+    const auto begun_at = std::chrono::steady_clock::now();
+    BOOST_TEST(!fetch(late_response::read_while_arriving).ok());
+    // Half of the response takes 1.3 s, and the call ends two seconds later at the latest.
+    BOOST_TEST((std::chrono::steady_clock::now() < begun_at + milliseconds(4500)));
+}
+
 // Guards against the end of a connection that is returned as a response, which is empty or lacks its end.
 BOOST_AUTO_TEST_CASE(connection_that_ends_before_the_end_of_a_response_is_lost) {
     const std::array<std::string, 4> incomplete{
