List only queues with pending jobs in the status that all processes ask for

A queue that is not listed has no pending job, which is what readers assume already. The test fails without the change.

--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -326,15 +326,13 @@
 
 std::vector<queue_status> cell_scheduler::get_queue_statuses() const {
     std::map<std::string, queue_status> statuses;
-    if (config_) {
-        for (const auto& queue : config_->queues) {
-            statuses[queue.rules.queue].queue = queue.rules.queue;
-        }
-    }
     for (const auto& [id, job] : jobs_) {
+        if (job.has_started || is_final(job.pending_end)) {
+            continue;
+        }
         auto& status = statuses[job.job->rules.queue];
         status.queue = job.job->rules.queue;
-        status.pending += job.has_started || is_final(job.pending_end) ? 0 : 1;
+        ++status.pending;
     }
     std::vector<queue_status> list;
     list.reserve(statuses.size());
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -109,6 +109,8 @@
     // The state of a job as shown to callers: done and failed only after they are durable, since the next
     // owner would otherwise show the job as running again.
     std::optional<job_phase> get_state(const job_id& id, const std::string& queue) const;
+    // Returns the queues that have accepted jobs of which no task has started. All others have none: their
+    // number is that of the configuration, and other processes ask for the list every second.
     std::vector<queue_status> get_queue_statuses() const;
     // Removes and returns up to limit ended jobs whose retention has expired, so that their records can be
     // deleted.
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -500,4 +500,19 @@
     check_no_violations(cell);
 }
 
+// Guards against a list of queues that grows with the configuration: each process asks for it every second, and
+// with 4,445 queues the owner sent 2.7 MB/s of queues without a pending job.
+BOOST_AUTO_TEST_CASE(lists_only_queues_with_pending_jobs) {
+    cell_fixture cell(1);
+    cell.is_polling = false;
+    cell.add_job("a", cell_fixture::make_job({cell_fixture::make_step(1)}));
+    const auto pending = cell.scheduler->get_queue_statuses();
+    BOOST_REQUIRE(pending.size() == 1U);
+    BOOST_TEST(pending.front().pending == 1U);
+    cell.is_polling = true;
+    cell.run_for(milliseconds(300));
+    BOOST_TEST((cell.get_state("a") == job_phase::running));
+    BOOST_TEST(cell.scheduler->get_queue_statuses().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
