Let processes get a configuration from each other, as its changes

What callers saw: a route that the store had acknowledged more than 4 s before was answered 404 by processes of the region in which the store does not stand (CONFIG); some processes never had the version at all.

Cause: each process read the whole value from the store. One change cost its size times the number of processes on the link between the regions, 22 x 1.1 MB at 4,445 queues, for all traffic together.

Now the processes of a region form a tree (choose_relay). The strongest one watches the store, the others ask the process above them, which answers with the changes since the version that they have. Relays are always stronger than those below, so there is no cycle, whatever processes know of each other. Processes find each other by leased records in the store (peer_directory). A relay that does not respond is left out of the tree, so another process takes its place, and a process without any relay reads from the store as before. Each response also tells how long ago the configuration was confirmed as the newest one.

Why it works at ten times the size: a change crosses the link between regions about once (a value of 11 MB in 1.5 s at 60 Mbit/s), each process sends it to eight others at most, and the depth of the tree grows with the logarithm of their number: at most 6 levels with 440 processes in 6 failure domains (relay_choice_test).

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "connection/wire_archive.hpp"
+#include "connection/record_archive.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane {
 
 namespace {
 
-constexpr std::uint32_t format_number = 1;
 constexpr std::string_view cancel_suffix = "/cancel";
 // A job id cannot have this form, so the key never collides with that of a job.
 constexpr std::string_view takeover_name = "!takeover";
@@ -40,12 +39,6 @@
     archive(spec.occurrences, spec.first_due_unix_ms, spec.period_ms);
 }
 
-template <class Archive>
-void serialize(Archive& archive, queue_rules& rules) {
-    archive(rules.queue, rules.service, rules.priority, rules.max_attempts, rules.stretch_permille,
-            rules.objective_ms);
-}
-
 template <class Archive>
 void serialize(Archive& archive, accepted_job& job) {
     archive(job.rules, job.spec, job.accepted_unix_ms);
@@ -104,61 +97,34 @@
     serialize_list(archive, snapshot.weights, max_images * max_images);
 }
 
-namespace {
-
-template <class Record>
-std::string encode(const Record& record) {
-    wire_output_archive archive{time_point()};
-    archive(format_number, record);
-    return archive.take_bytes();
-}
-
-template <class Record>
-absl::StatusOr<Record> decode(std::string_view bytes, const char* what) {
-    Record record;
-    try {
-        wire_input_archive archive(bytes, time_point());
-        std::uint32_t format = 0;
-        archive(format);
-        if (format != format_number) {
-            return make_error(error_kind::bad_request, std::string("the ") + what + " has format " +
-                                                           std::to_string(format) + ", expected format " +
-                                                           std::to_string(format_number));
-        }
-        archive(record);
-        if (archive.get_remaining() != 0) {
-            return make_error(error_kind::bad_request, std::string("the ") + what + " has " +
-                                                           std::to_string(archive.get_remaining()) +
-                                                           " bytes after its end");
-        }
-    } catch (const cereal::Exception& error) {
-        return make_error(error_kind::bad_request,
-                          std::string("the ") + what + " cannot be read: " + error.what());
-    }
-    return record;
+template <class Archive>
+void serialize(Archive& archive, live_peer& peer) {
+    archive(peer.process, peer.address, peer.place, peer.link_mbps, peer.processors_milli);
 }
 
-}  // namespace
-
 std::string encode_record(const accepted_job& job) {
-    return encode(job);
+    return encode_with_format(job);
 }
 std::string encode_record(const job_progress& progress) {
-    return encode(progress);
+    return encode_with_format(progress);
 }
 std::string encode_record(const cell_row& row) {
-    return encode(row);
+    return encode_with_format(row);
 }
 std::string encode_record(const known_upstreams& upstreams) {
-    return encode(upstreams);
+    return encode_with_format(upstreams);
 }
 
 std::string encode_record(const tail_snapshot& snapshot) {
-    return encode(snapshot);
+    return encode_with_format(snapshot);
+}
+
+std::string encode_record(const live_peer& peer) {
+    return encode_with_format(peer);
 }
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes) {
-    auto job = decode<accepted_job>(bytes, "job record");
+    auto job = decode_with_format<accepted_job>(bytes, "job record");
     if (!job.ok()) {
         return job;
     }
@@ -169,19 +135,19 @@
 }
 
 absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes) {
-    return decode<job_progress>(bytes, "progress record");
+    return decode_with_format<job_progress>(bytes, "progress record");
 }
 
 absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes) {
-    return decode<cell_row>(bytes, "cell row");
+    return decode_with_format<cell_row>(bytes, "cell row");
 }
 
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes) {
-    return decode<known_upstreams>(bytes, "list of known upstreams");
+    return decode_with_format<known_upstreams>(bytes, "list of known upstreams");
 }
 
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes) {
-    auto snapshot = decode<tail_snapshot>(bytes, "record of learned tail latencies");
+    auto snapshot = decode_with_format<tail_snapshot>(bytes, "record of learned tail latencies");
     if (!snapshot.ok()) {
         return snapshot;
     }
@@ -194,6 +160,10 @@
     return snapshot;
 }
 
+absl::StatusOr<live_peer> decode_live_peer(std::string_view bytes) {
+    return decode_with_format<live_peer>(bytes, "record of a process");
+}
+
 std::string make_job_key(const job_id& id) {
     return std::string(job_prefix) + id.get();
 }
@@ -222,6 +192,10 @@
     return "jv/tails/" + std::string(cell_name);
 }
 
+std::string make_peer_key(const vm_id& vm) {
+    return std::string(peer_prefix) + vm.get();
+}
+
 job_key parse_job_key(std::string_view key) {
     key.remove_prefix(std::min(job_prefix.size(), key.size()));
     if (key == takeover_name) {
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -11,6 +11,7 @@
 #include "process/job_spec.hpp"
 #include "process/tail_model.hpp"
 #include "process/upstream_entry.hpp"
+#include "version/relay_choice.hpp"
 
 namespace jacinthvane {
 
@@ -39,12 +40,14 @@
 std::string encode_record(const cell_row& row);
 std::string encode_record(const known_upstreams& upstreams);
 std::string encode_record(const tail_snapshot& snapshot);
+std::string encode_record(const live_peer& peer);
 
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes);
 absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes);
 absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes);
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes);
+absl::StatusOr<live_peer> decode_live_peer(std::string_view bytes);
 
 // Keys of the records.
 constexpr std::string_view job_prefix = "jv/job/";
@@ -61,6 +64,9 @@
 std::string make_commit_key();
 std::string make_upstreams_key();
 std::string make_tails_key();
+// The record of an entry process, under its lease.
+constexpr std::string_view peer_prefix = "jv/peer/";
+std::string make_peer_key(const vm_id& vm);
 
 // The parsed form of a key under job_prefix.
 struct job_key {
--- a/src/process/cell_limits.hpp
+++ b/src/process/cell_limits.hpp
@@ -13,6 +13,8 @@
     std::chrono::milliseconds stop_timeout{200};
     // How long a latency-critical task may exceed its target because of best-effort tasks.
     std::chrono::milliseconds interference_limit{4000};
+    // The time after which an acknowledged configuration must be in force in every process.
+    std::chrono::milliseconds config_bound{8000};
     // How long an owner may act after its last confirmed proof of ownership.
     std::chrono::milliseconds proof_window{6000};
     // How long the outcome of a job can be requested after the job ended.
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -22,7 +22,6 @@
 // this rate.
 constexpr milliseconds watch_retry_delay{200};
 // Server-side wait of one watch call. It bounds how long an unresponsive connection can hide a change.
-constexpr std::int64_t config_wait_ms = 1200;
 constexpr std::int64_t owner_wait_ms = 1500;
 constexpr milliseconds watch_margin{500};
 constexpr std::int64_t owner_lease_ms = 2500;
@@ -43,6 +42,11 @@
     return std::chrono::steady_clock::now() + timeout;
 }
 
+live_peer make_peer(const entry_settings& settings, const std::string& process_name) {
+    return {process_name, settings.peer_address, settings.place, settings.link_mbps,
+            settings.processors_milli};
+}
+
 }  // namespace
 
 cell_member::cell_member(asio::io_context& context, cell_ports ports, entry_settings settings,
@@ -51,7 +55,10 @@
       ports_(std::move(ports)),
       settings_(std::move(settings)),
       process_name_(std::move(process_name)),
-      metrics_(counters) {}
+      metrics_(counters),
+      directory_(std::make_shared<peer_directory>(context, ports_.store, settings_.vm,
+                                                  make_peer(settings_, process_name_),
+                                                  settings_.min_store_lease_ms)) {}
 
 void cell_member::spawn(const char* name, awaitable<void> task) {
     spawn_task(context_, name, keep_alive(shared_from_this(), std::move(task)));
@@ -62,7 +69,22 @@
 }
 
 void cell_member::start() {
-    spawn("follow_config", follow_config());
+    const std::weak_ptr<cell_member> self = weak_from_this();
+    config_follower::callbacks hooks;
+    hooks.install = [self](std::shared_ptr<const queue_index> queues) {
+        if (const auto member = self.lock()) {
+            member->install_config(std::move(queues));
+        }
+    };
+    hooks.record_store_read = [self](bool is_ok) {
+        if (const auto member = self.lock()) {
+            member->record_store_call(is_ok);
+        }
+    };
+    configs_ = std::make_shared<config_follower>(context_, ports_.registry, directory_,
+                                                 settings_.limits.config_bound, std::move(hooks));
+    directory_->start();
+    configs_->start();
     spawn("follow_owner", follow_owner());
 }
 
@@ -71,11 +93,6 @@
     return is_stopping_;
 }
 
-std::shared_ptr<const queue_index> cell_member::get_queues() const {
-    std::lock_guard lock(mutex_);
-    return queues_;
-}
-
 std::shared_ptr<cell_owner> cell_member::get_owner() const {
     std::lock_guard lock(mutex_);
     return owner_;
@@ -92,10 +109,11 @@
 }
 
 bool cell_member::is_ready() const {
+    const bool has_config = get_queues() != nullptr;
     std::lock_guard lock(mutex_);
     const bool is_store_lost = store_failed_at_ > store_ok_at_ &&
                                std::chrono::steady_clock::now() > store_ok_at_ + store_failure_grace;
-    return queues_ != nullptr && !is_stopping_ && !is_store_lost;
+    return has_config && !is_stopping_ && !is_store_lost;
 }
 
 awaitable<void> cell_member::stop(time_point deadline) {
@@ -107,6 +125,7 @@
         owner = owner_;
         lease = lease_;
     }
+    co_await directory_->stop(deadline);
     if (owner == nullptr || owner->is_over()) {
         co_return;
     }
@@ -117,71 +136,12 @@
               << (status.ok() ? "ok" : std::string(status.message())) << "\"";
 }
 
-void cell_member::install_config(const config_state& state) {
-    if (state.config == nullptr) {
-        return;
-    }
-    const auto queues = std::make_shared<const queue_index>(state.config);
-    std::shared_ptr<cell_owner> owner;
-    {
-        std::lock_guard lock(mutex_);
-        if (queues_ != nullptr && state.config->version <= queues_->get_config().version) {
-            return;
-        }
-        queues_ = queues;
-        owner = owner_;
-    }
+void cell_member::install_config(std::shared_ptr<const queue_index> queues) {
     config_installed_.notify_all();
-    LOG(INFO) << "event=config_installed version=" << state.config->version << " revision=" << state.revision
-              << " queues=" << state.config->queues.size();
-    metrics_.set_config_version(state.config->version);
+    metrics_.set_config_version(queues->get_config().version);
     metrics_.count(decision::config_change);
-    if (owner != nullptr) {
-        owner->set_queues(queues);
-    }
-}
-
-awaitable<void> cell_member::follow_config() {
-    bool needs_read = true;
-    std::uint64_t revision = 0;
-    while (!is_stopping()) {
-        const auto started_at = std::chrono::steady_clock::now();
-        absl::StatusOr<config_state> state = absl::UnknownError("not read");
-        if (needs_read) {
-            state = co_await ports_.registry.get_config(get_store_deadline());
-        } else {
-            const auto deadline = get_deadline(milliseconds(config_wait_ms) + watch_margin);
-            state = co_await ports_.registry.watch_config(revision, config_wait_ms, deadline);
-        }
-        const bool is_revision_unavailable =
-            !state.ok() && get_error_kind(state.status()) == error_kind::version_conflict;
-        record_store_call(state.ok() || is_revision_unavailable);
-        if (!state.ok()) {
-            const auto read_time = std::chrono::steady_clock::now() - started_at;
-            LOG(WARNING) << "event=config_read_failed full=" << needs_read
-                         << " after_ms=" << std::chrono::duration_cast<milliseconds>(read_time).count()
-                         << " error=\"" << state.status().message() << "\"";
-        }
-        if (state.ok()) {
-            if (needs_read) {
-                std::lock_guard lock(mutex_);
-                store_delay_ =
-                    std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_at);
-            }
-            install_config(*state);
-            revision = state->revision;
-            // Before the first configuration is stored, there is no revision to watch from.
-            needs_read = revision == 0;
-            if (!needs_read) {
-                continue;
-            }
-        } else {
-            needs_read = true;
-            if (is_revision_unavailable) {
-                continue;
-            }
-        }
-        co_await wait_until(get_deadline(watch_retry_delay));
+    if (const auto owner = get_owner(); owner != nullptr) {
+        owner->set_queues(std::move(queues));
     }
 }
 
@@ -209,12 +169,18 @@
     while (!is_stopping()) {
         // The watch begins at the revision of the listing, since the revision of the key may be older than
         // the history that the store retains.
+        const auto listed_at = std::chrono::steady_clock::now();
         const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
         record_store_call(listing.ok());
         if (!listing.ok()) {
             co_await wait_until(get_deadline(watch_retry_delay));
             continue;
         }
+        {
+            std::lock_guard lock(mutex_);
+            store_delay_ =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - listed_at);
+        }
         const auto found = std::find_if(listing->items.begin(), listing->items.end(),
                                         [&](const store_item& item) { return item.key == key; });
         bool is_owned = found != listing->items.end();
@@ -384,16 +350,14 @@
     metrics_.count(decision::takeover);
     const cell_claim claim{row, revision, std::chrono::steady_clock::now()};
     const auto owner = std::make_shared<cell_owner>(context_, ports_, settings_.limits, claim, metrics_);
-    std::shared_ptr<const queue_index> queues;
     {
         std::lock_guard lock(mutex_);
         owner_ = owner;
         owner_row_ = row;
         lease_ = lease->id;
         cell_revision_ = revision;
-        queues = queues_;
     }
-    owner->start(queues);
+    owner->start(get_queues());
     spawn("keep_lease", keep_lease(lease->id));
     co_return true;
 }
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -10,13 +10,15 @@
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
 #include "request/cell_owner.hpp"
+#include "request/config_follower.hpp"
+#include "request/peer_directory.hpp"
 #include "version/entry_settings.hpp"
 #include "version/queue_index.hpp"
 
 namespace jacinthvane {
 
-// One process of the cell: watches the configuration and the owner record in the store, and takes ownership
-// of the cell when it has no owner. Thread-safe.
+// One process of the cell: follows the configuration, the other processes and the owner record, and takes
+// ownership of the cell when it has no owner. Thread-safe.
 class cell_member : public std::enable_shared_from_this<cell_member> {
 public:
     cell_member(asio::io_context& context, cell_ports ports, entry_settings settings,
@@ -27,7 +29,10 @@
     awaitable<void> stop(time_point deadline);
 
     // Returns the queues of the configuration in force, or null if none has been read yet.
-    std::shared_ptr<const queue_index> get_queues() const;
+    std::shared_ptr<const queue_index> get_queues() const { return configs_->get_queues(); }
+    // Whether the configuration is proven to be recent; see config_follower.
+    bool is_config_current() const { return configs_->is_current(); }
+    config_follower& get_configs() const { return *configs_; }
     // Returns the owner that runs in this process, or null.
     std::shared_ptr<cell_owner> get_owner() const;
     // Returns the record of the current owner with its address, or nothing if no owner is known.
@@ -40,7 +45,6 @@
 private:
     void spawn(const char* name, awaitable<void> task);
     static awaitable<void> keep_alive(std::shared_ptr<cell_member> self, awaitable<void> task);
-    awaitable<void> follow_config();
     awaitable<void> follow_owner();
     // Renews the claim of this process, or tries once to take the cell after a delay.
     awaitable<void> contest();
@@ -50,7 +54,7 @@
     awaitable<void> keep_lease(std::uint64_t lease);
     awaitable<void> release_lease(std::uint64_t lease);
 
-    void install_config(const config_state& state);
+    void install_config(std::shared_ptr<const queue_index> queues);
     void set_owner_row(const store_item& item);
     std::int64_t get_owner_lease_ms() const;
     std::chrono::milliseconds get_contest_delay() const;
@@ -61,8 +65,10 @@
     const entry_settings settings_;
     const std::string process_name_;
     metrics& metrics_;
+    const std::shared_ptr<peer_directory> directory_;
+    // Made by start, like all that refers to this object.
+    std::shared_ptr<config_follower> configs_;
     mutable ordered_mutex mutex_{lock_rank::cell_member};
-    std::shared_ptr<const queue_index> queues_;
     std::shared_ptr<cell_owner> owner_;
     std::optional<cell_row> owner_row_;
     bool is_stopping_ = false;
--- a/src/request/peer_queries.cpp
+++ b/src/request/peer_queries.cpp
@@ -1,7 +1,12 @@
 #include "request/peer_queries.hpp"
 
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
+#include "connection/config_records.hpp"
 #include "connection/json_reader.hpp"
 #include "process/error_kind.hpp"
 #include "request/cell_member.hpp"
@@ -15,6 +20,7 @@
 constexpr std::string_view job_path = "/v1/cell/jobs";
 constexpr std::string_view status_path = "/v1/cell/queues";
 constexpr std::string_view dump_path = "/v1/cell/state";
+constexpr std::string_view config_path = "/v1/cell/config";
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
 constexpr int not_owner_status = 421;
@@ -42,6 +48,19 @@
     return {{"queue", status.queue}, {"pending", status.pending}};
 }
 
+std::uint64_t read_number(const http_request& request, std::string_view name) {
+    const auto text = request.get_query(name);
+    std::uint64_t number = 0;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+    return number;
+}
+
+config_query read_config_query(const http_request& request) {
+    const auto wait_ms = std::min<std::uint64_t>(read_number(request, "wait_ms"), INT32_MAX);
+    return {read_number(request, "version"), read_number(request, "confirmation"),
+            static_cast<std::int64_t>(wait_ms)};
+}
+
 http_response respond_as_owner(const http_request& request, const cell_owner& owner) {
     if (request.get_path() == job_path) {
         const auto state = owner.get_state(job_id(request.get_query("job")), request.get_query("queue"));
@@ -80,6 +99,22 @@
     return request;
 }
 
+http_request make_config_query(const config_query& query) {
+    http_request request;
+    request.target = std::string(config_path) + "?version=" + std::to_string(query.version) +
+                     "&confirmation=" + std::to_string(query.confirmation) +
+                     "&wait_ms=" + std::to_string(query.wait_ms);
+    return request;
+}
+
+absl::StatusOr<config_report> read_config_response(const http_response& response) {
+    if (response.status != ok_status) {
+        return make_error(error_kind::peer_unreachable,
+                          "the relay responded with status " + std::to_string(response.status));
+    }
+    return decode_config_report(response.body);
+}
+
 absl::StatusOr<job_phase> read_state_response(const http_response& response) {
     if (response.status == not_found_status) {
         return make_error(error_kind::not_found, "the owner does not have the job");
@@ -124,14 +159,22 @@
     return statuses;
 }
 
-http_response respond_to_query(const http_request& request, const cell_member& member) {
-    const auto owner = member.get_owner();
+awaitable<http_response> respond_to_query(http_request request, std::shared_ptr<const cell_member> member) {
+    if (request.get_path() == config_path) {
+        const auto query = read_config_query(request);
+        const auto report = co_await member->get_configs().get_report(query);
+        http_response response;
+        response.headers["Content-Type"] = "application/octet-stream";
+        response.body = encode_record(report);
+        co_return response;
+    }
+    const auto owner = member->get_owner();
     if (owner == nullptr || !owner->is_loaded()) {
-        return make_response(not_owner_status, {{"message", "this process does not own the cell"}});
+        co_return make_response(not_owner_status, {{"message", "this process does not own the cell"}});
     }
     auto response = respond_as_owner(request, *owner);
     owner->record_query(response.body.size());
-    return response;
+    co_return response;
 }
 
 }  // namespace jacinthvane
--- a/src/version/entry_settings.hpp
+++ b/src/version/entry_settings.hpp
@@ -21,6 +21,8 @@
     std::string advice_address;
     // Thousandths of a processor that the process may use.
     std::int64_t processors_milli = 1000;
+    // Rate of the link of this VM; 0 if it is unknown.
+    std::int64_t link_mbps = 0;
     // Shortest lease that the store accepts.
     std::int64_t min_store_lease_ms = 1000;
     // How long the shutdown of the process may take in total.
--- a/tests/config_spread_test.cpp
+++ b/tests/config_spread_test.cpp
@@ -58,7 +58,12 @@
 public:
     spread_process(asio::io_context& context, const std::string& store_address, const std::string& name)
         : peer_server_(context, http_limits{}, [this](http_request request) -> awaitable<http_response> {
-              co_return respond_to_query(request, *member_);
+              if (is_unreachable_) {
+                  http_response nothing;
+                  nothing.status = dropped_response_status;
+                  co_return nothing;
+              }
+              co_return co_await respond_to_query(std::move(request), member_);
           }) {
         BOOST_REQUIRE(peer_server_.listen("127.0.0.1:0").ok());
         const auto store = std::make_shared<platform::store_connection>(context, store_address);
@@ -78,8 +83,11 @@
         return queues == nullptr ? 0 : queues->get_config().version;
     }
     const jacinthvane::cell_member& get_member() const { return *member_; }
+    // Drops the connections of other processes, also those of queries that wait.
+    void set_unreachable() { is_unreachable_ = true; }
 
 private:
+    bool is_unreachable_ = false;
     metrics counters_;
     http_server peer_server_;
     std::shared_ptr<jacinthvane::cell_member> member_;
@@ -117,6 +125,14 @@
                           [&](const auto& process) { return process->get_version() == version; }));
     }
 
+    // Returns the bytes that have crossed the link towards the processes.
+    awaitable<std::uint64_t> count_link_bytes() {
+        http_request request;
+        request.target = "/admin/ledger";
+        const auto response = co_await link.handle_admin(request);
+        co_return nlohmann::json::parse(response.body).at("backward_bytes").get<std::uint64_t>();
+    }
+
     awaitable<bool> wait_for_version(std::uint64_t version, time_point deadline) {
         while (count_processes_with(version) < processes.size()) {
             if (std::chrono::steady_clock::now() >= deadline) {
@@ -165,4 +181,42 @@
     });
 }
 
+// Guards against bytes on the link between the regions that grow with the number of processes: one process
+// reads the value, and the others get the changes from each other.
+BOOST_AUTO_TEST_CASE(a_change_crosses_the_link_between_regions_about_once) {
+    constexpr std::size_t process_count = 20;
+    two_regions regions(process_count, 0);
+    run_coroutine(regions.context, [&]() -> awaitable<void> {
+        regions.write_config(1, 1000);
+        BOOST_TEST(co_await regions.wait_for_version(1, after(config_bound)));
+        const auto before = co_await regions.count_link_bytes();
+        regions.write_config(2, 2000);
+        BOOST_TEST(co_await regions.wait_for_version(2, after(config_bound)));
+        const auto value_bytes = encode_config(2, 2000).size() * 4 / 3;
+        const auto link_bytes = co_await regions.count_link_bytes() - before;
+        BOOST_TEST(link_bytes < 3 * value_bytes);
+    });
+}
+
+// Guards against processes that stay without a new configuration because the one that they get it from is
+// gone and still listed.
+BOOST_AUTO_TEST_CASE(a_change_reaches_the_processes_whose_relay_is_gone) {
+    constexpr std::size_t process_count = 12;
+    two_regions regions(process_count, 0);
+    run_coroutine(regions.context, [&]() -> awaitable<void> {
+        regions.write_config(1, 10);
+        BOOST_TEST(co_await regions.wait_for_version(1, after(config_bound)));
+        // Processes of equal strength are ordered by name, so these three are the relays of most others.
+        for (const std::size_t relay : {9U, 8U, 7U}) {
+            regions.processes[relay]->set_unreachable();
+        }
+        regions.write_config(2, 20);
+        BOOST_TEST(co_await regions.wait_for_version(2, after(config_bound)));
+        co_await wait_until(after(seconds(2)));
+        for (const auto& process : regions.processes) {
+            BOOST_TEST(process->get_member().is_config_current());
+        }
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
