Refuse what depends on the configuration while it may be outdated

What callers saw: 404 for a route that had been there for seconds (CONFIG). A process answered from whatever version it held, whatever its age; nothing told it that it was left behind.

It also reports that it is not ready, so the balancer picks another process.

--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -109,11 +109,11 @@
 }
 
 bool cell_member::is_ready() const {
-    const bool has_config = get_queues() != nullptr;
+    const bool is_current = is_config_current();
     std::lock_guard lock(mutex_);
     const bool is_store_lost = store_failed_at_ > store_ok_at_ &&
                                std::chrono::steady_clock::now() > store_ok_at_ + store_failure_grace;
-    return has_config && !is_stopping_ && !is_store_lost;
+    return is_current && !is_stopping_ && !is_store_lost;
 }
 
 awaitable<void> cell_member::stop(time_point deadline) {
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -37,7 +37,7 @@
     std::shared_ptr<cell_owner> get_owner() const;
     // Returns the record of the current owner with its address, or nothing if no owner is known.
     std::optional<cell_row> get_owner_row() const;
-    // Whether this process can accept requests: a configuration is in force and the store responds.
+    // Whether this process can accept requests: a recent configuration is in force and the store responds.
     bool is_ready() const;
     // Records the outcome of a store call that another component made; is_ready() uses it.
     void record_store_call(bool is_ok);
