Give up a task under which upstreams crash, and find it among its neighbors

What callers would see: a task that crashes each upstream that starts it was started without end, by one owner after the other (BUDGET); each time its neighbors lost their work.

Cause: begin_incarnation released the runs of a crashed upstream and counted the crash against nobody. A failed run counts as an attempt, but the end of a run whose upstream crashed is never listed.

Now a new incarnation counts as a crash under each run that had not been seen for 5 s on the one before. A task with two crashes is given up if it was the only such run there, and with three in any case; its job fails. Tasks with a crash are placed apart from each other, those with two alone, so that the next crash has one suspect and sound neighbors prove themselves. A run that survives 5 s clears its task, so a long-running task is not given up for the crashes of a long life. The crashes are part of the progress record and known to the next owner; the list stands at the end of the record and is left out if it is empty, so that records of both kinds can be read. An upstream that was leaving has not crashed, and a lease that lapses is no proof of a crash.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view cell_name = "0";
 constexpr std::size_t max_upstreams = 20000;
 constexpr std::size_t max_images = 256;
+constexpr std::size_t max_crashed_runs = 64;
 
 }  // namespace
 
@@ -59,6 +60,26 @@
     archive(step.is_done);
 }
 
+template <class Archive>
+void serialize(Archive& archive, task_crashes& crashes) {
+    archive(crashes.occurrence, crashes.step, crashes.index);
+    serialize_list(archive, crashes.runs, max_crashed_runs);
+}
+
+// The list of crashes is at the end of the record and left out if it is empty, as in records that were
+// written before there was one.
+template <class Archive>
+void serialize_crashes(Archive& archive, job_progress& progress) {
+    if constexpr (Archive::is_loading::value) {
+        if (archive.get_remaining() == 0) {
+            return;
+        }
+    } else if (progress.crashes.empty()) {
+        return;
+    }
+    serialize_list(archive, progress.crashes, max_tasks_per_job);
+}
+
 template <class Archive>
 void serialize(Archive& archive, job_progress& progress) {
     archive(progress.queue);
@@ -67,6 +88,7 @@
     serialize_list(archive, progress.done_occurrences, max_occurrences);
     serialize_list(archive, progress.steps, max_tasks_per_job);
     archive(progress.ended_unix_ms);
+    serialize_crashes(archive, progress);
 }
 
 template <class Archive>
--- a/src/process/job_progress.hpp
+++ b/src/process/job_progress.hpp
@@ -27,6 +27,17 @@
     bool operator==(const task_history&) const = default;
 };
 
+// The runs of a task under which an upstream crashed.
+struct task_crashes {
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    // Numbers of the runs, in ascending order.
+    std::vector<std::uint64_t> runs;
+
+    bool operator==(const task_crashes&) const = default;
+};
+
 // Durable progress of one step of one occurrence.
 struct step_progress {
     std::uint32_t occurrence = 0;
@@ -50,6 +61,8 @@
     std::vector<step_progress> steps;
     // Time at which the state became final. The time at which the record may be removed is computed from it.
     std::int64_t ended_unix_ms = 0;
+    // Tasks that are not done and under which upstreams crashed.
+    std::vector<task_crashes> crashes;
 
     bool operator==(const job_progress&) const = default;
 };
--- a/src/process/job_record.cpp
+++ b/src/process/job_record.cpp
@@ -25,6 +25,16 @@
     return progress;
 }
 
+void add_crashes(const step_state& step, std::uint32_t occurrence, std::uint32_t number,
+                 std::vector<task_crashes>& crashes) {
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const auto& task = step.tasks[i];
+        if (task.phase != task_phase::done && !task.crashed_runs.empty()) {
+            crashes.push_back({occurrence, number, i, task.crashed_runs});
+        }
+    }
+}
+
 bool has_durable_state(const step_progress& progress) {
     return progress.is_done || !progress.done_tasks.empty() || !progress.histories.empty();
 }
@@ -77,6 +87,7 @@
             if (has_durable_state(step)) {
                 progress.steps.push_back(std::move(step));
             }
+            add_crashes(occurrence.steps[i], number, i, progress.crashes);
         }
     }
     return progress;
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -26,6 +26,8 @@
     // Numbers of the failed runs. Those of a gang are stored with its first member. For long-running tasks
     // the list is empty, since they may fail any number of times.
     std::vector<std::uint64_t> failed_runs;
+    // Numbers of the runs under which an upstream crashed, since a run last proved that it crashes none.
+    std::vector<std::uint64_t> crashed_runs;
     // Consecutive failures. They determine the delay before the next run.
     std::uint32_t failures_in_row = 0;
     std::string checkpoint;
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -1,5 +1,6 @@
 #include "process/upstream_ledger.hpp"
 
+#include <algorithm>
 #include <chrono>
 
 namespace jacinthvane {
@@ -8,6 +9,9 @@
 
 // Share of its committed processors that a long-running task uses on average.
 constexpr std::int64_t long_running_use_permille = 550;
+// A run that was seen on its upstream this long after its start does not crash it. A task that crashes
+// upstreams does so when it starts.
+constexpr std::chrono::milliseconds proof_time{5000};
 
 }  // namespace
 
@@ -15,6 +19,16 @@
     return clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_read_at).count();
 }
 
+bool upstream_ledger::is_unproven(const run_record& run) const {
+    return clock_read_at < run.started_at + proof_time;
+}
+
+std::size_t upstream_ledger::count_unproven_runs(std::uint32_t min_earlier_crashes) const {
+    return static_cast<std::size_t>(std::count_if(runs.begin(), runs.end(), [&](const auto& entry) {
+        return entry.second.earlier_crashes >= min_earlier_crashes && is_unproven(entry.second);
+    }));
+}
+
 std::int64_t upstream_ledger::estimate_used_milli() const {
     std::int64_t used = 0;
     for (const auto& [key, run] : runs) {
@@ -33,6 +47,7 @@
     committed = committed + record.committed;
     best_effort_milli += record.best_effort_milli;
     unknown_size_runs += record.is_size_unknown ? 1 : 0;
+    suspect_runs += record.earlier_crashes > 0 ? 1 : 0;
     runs.emplace(run_key{task, run}, record);
 }
 
@@ -44,6 +59,7 @@
     committed = committed - found->second.committed;
     best_effort_milli -= found->second.best_effort_milli;
     unknown_size_runs -= found->second.is_size_unknown ? 1 : 0;
+    suspect_runs -= found->second.earlier_crashes > 0 ? 1 : 0;
     runs.erase(found);
 }
 
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -60,6 +60,8 @@
     // Clock of the upstream at the report in which the progress last changed.
     std::int64_t percent_changed_clock_ms = 0;
     std::int64_t load = 0;
+    // Upstreams that crashed under earlier runs of the task.
+    std::uint32_t earlier_crashes = 0;
     image_index image = 0;
     // CPU limit that was last sent, in percent of full speed.
     std::int32_t cpu_limit_percent = 100;
@@ -112,6 +114,8 @@
     std::int64_t best_effort_milli = 0;
     // Runs whose size is unknown; no other run may start while there is one.
     std::size_t unknown_size_runs = 0;
+    // Runs of tasks under which an upstream has crashed before.
+    std::size_t suspect_runs = 0;
     // Highest ratio of tail latency to target among its tasks, in thousandths.
     std::int64_t pressure_permille = 0;
     // Headroom that is reserved for latency-critical tasks in addition to that of the model, since a target
@@ -133,6 +137,10 @@
         return (is_unresponsive || !has_responded) && now >= leases_expire_at &&
                failed_polls_after_expiry >= conclusive_failed_polls;
     }
+    // Whether the run may be what crashes the upstream: it was not seen to survive long enough.
+    bool is_unproven(const run_record& run) const;
+    // Returns the unproven runs of tasks under which at least this many upstreams have crashed before.
+    std::size_t count_unproven_runs(std::uint32_t min_earlier_crashes) const;
     resource_vector get_room() const { return entry.capacity - committed; }
     // Estimates the current reading of the upstream's clock, assuming that it runs as fast as the clock of
     // this process.
--- /dev/null
+++ b/src/version/cell_crashes.cpp
@@ -0,0 +1,96 @@
+// Finds the tasks that crash the upstreams on which they start; see cell_scheduler.hpp.
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include <glog/logging.h>
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+// Crashes after which a task starts only where no other run can have caused the next one.
+constexpr std::size_t crashes_to_isolate = 2;
+// Crashes after which a task is given up if no other run can have caused the last one, and in any case.
+constexpr std::size_t crashes_to_give_up_alone = 2;
+constexpr std::size_t crashes_to_give_up = 3;
+// Placement costs, in units of an upstream's processors. Tasks under which an upstream has crashed are kept
+// apart, so that the next crash has one suspect, and others are kept away from them.
+constexpr double shared_suspicion_cost = 2.0;
+constexpr double near_suspect_cost = 0.5;
+
+}  // namespace
+
+void cell_scheduler::record_crash(upstream_ledger& upstream, time_point now) {
+    std::vector<run_key> suspects;
+    for (const auto& [key, run] : upstream.runs) {
+        // A start order that was refused or not sent has not crashed anything.
+        const bool may_run = run.phase != run_phase::starting || run.is_order_sent || run.has_unknown_start;
+        if (may_run && upstream.is_unproven(run)) {
+            suspects.push_back(key);
+        }
+    }
+    for (const auto& [ref, run] : suspects) {
+        auto* job = find_job(ref.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(ref);
+        if (task == nullptr || is_final(job->pending_end) || task->phase == task_phase::done) {
+            continue;
+        }
+        auto& runs = task->crashed_runs;
+        const auto position = std::lower_bound(runs.begin(), runs.end(), run);
+        if (position != runs.end() && *position == run) {
+            continue;
+        }
+        runs.insert(position, run);
+        dirty_jobs_.insert(job->id);
+        const bool is_alone = suspects.size() == 1;
+        const bool is_given_up = runs.size() >= (is_alone ? crashes_to_give_up_alone : crashes_to_give_up);
+        LOG(INFO) << "event=upstream_crashed upstream=" << upstream.entry.id.get()
+                  << " task=" << ref.to_string() << "/" << run << " crashes=" << runs.size()
+                  << " suspects=" << suspects.size() << " given_up=" << is_given_up << " token=" << token_;
+        if (is_given_up) {
+            end_job(*job, job_phase::failed, now);
+        }
+    }
+}
+
+void cell_scheduler::clear_proven_runs(upstream_ledger& upstream) {
+    if (upstream.suspect_runs == 0) {
+        return;
+    }
+    for (auto& [key, run] : upstream.runs) {
+        if (run.earlier_crashes == 0 || upstream.is_unproven(run)) {
+            continue;
+        }
+        run.earlier_crashes = 0;
+        --upstream.suspect_runs;
+        auto* job = find_job(key.first.job);
+        auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+        if (task != nullptr && task->phase == task_phase::active && task->last_run == key.second) {
+            task->crashed_runs.clear();
+            dirty_jobs_.insert(job->id);
+        }
+    }
+}
+
+bool cell_scheduler::may_share(const upstream_ledger& upstream, const task_record& task) const {
+    if (task.crashed_runs.size() >= crashes_to_isolate) {
+        return upstream.count_unproven_runs(0) == 0;
+    }
+    return upstream.suspect_runs == 0 || upstream.count_unproven_runs(crashes_to_isolate) == 0;
+}
+
+double cell_scheduler::get_crash_cost(const upstream_ledger& upstream, const task_record& task) const {
+    if (upstream.suspect_runs == 0) {
+        return 0;
+    }
+    const auto suspects = static_cast<double>(upstream.count_unproven_runs(1));
+    return suspects * (task.crashed_runs.empty() ? near_suspect_cost : shared_suspicion_cost);
+}
+
+}  // namespace jacinthvane
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -156,6 +156,10 @@
         }
         const auto chosen = choose_upstream(job, ref, task, now);
         if (!chosen) {
+            // A task that has to be kept apart does not hold up the others of its step.
+            if (!task.crashed_runs.empty()) {
+                continue;
+            }
             return;
         }
         start_task(job, {ref.job, ref.occurrence, number, index}, *chosen, get_next_run(task), now,
@@ -261,17 +265,20 @@
     double best_cost = 0;
     for (const auto& option : get_candidates(job, ref, now)) {
         const auto& id = option.upstream->entry.id;
-        if (!option.is_eligible || (needs_ticket && !tickets->second.tickets.contains(id))) {
+        if (!option.is_eligible || (needs_ticket && !tickets->second.tickets.contains(id)) ||
+            !may_share(*option.upstream, task)) {
             continue;
         }
-        const auto cost = option.cost + (is_avoided(task, id) ? avoided_cost : 0.0);
+        const auto cost = option.cost + (is_avoided(task, id) ? avoided_cost : 0.0) +
+                          get_crash_cost(*option.upstream, task);
         if (best.upstream == nullptr || cost < best_cost) {
             best.upstream = option.upstream;
             best_cost = cost;
         }
     }
     if (best.upstream == nullptr) {
-        if (spec.required_label.empty() && spec.max_per_upstream == 0 && !needs_ticket) {
+        const bool is_suspect = !task.crashed_runs.empty();
+        if (spec.required_label.empty() && spec.max_per_upstream == 0 && !needs_ticket && !is_suspect) {
             unplaced_.push_back(wanted);
         }
         return std::nullopt;
@@ -410,6 +417,7 @@
     record.best_effort_milli = spec.is_best_effort ? spec.size.get_processors_milli() : 0;
     record.is_long_running = spec.is_long_running;
     record.target_tail_ms = spec.target_tail_ms;
+    record.earlier_crashes = static_cast<std::uint32_t>(task.crashed_runs.size());
     record.image = tail_model_.get_index(spec.image);
     record.cpu_limit_changed_at = now;
     record.is_order_sent = true;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -86,6 +86,10 @@
 }
 
 void cell_scheduler::begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, time_point now) {
+    // An upstream that was leaving has shut down.
+    if (!upstream.entry.is_leaving) {
+        record_crash(upstream, now);
+    }
     while (!upstream.runs.empty()) {
         release_run(upstream, upstream.runs.begin()->first, now);
     }
@@ -190,6 +194,7 @@
         release_absent_runs(upstream, report, now);
     }
     upstream.has_responded = true;
+    clear_proven_runs(upstream);
     apply_latency_measurements(upstream, report, now);
 }
 
@@ -416,6 +421,7 @@
     run.target_tail_ms = spec.target_tail_ms;
     run.image = tail_model_.get_index(spec.image);
     run.cpu_limit_percent = unknown_cpu_limit_percent;
+    run.earlier_crashes = static_cast<std::uint32_t>(task->crashed_runs.size());
     const bool is_wanted =
         task->phase == task_phase::waiting && row.run > task->last_run && !is_final(job->pending_end);
     if (is_wanted) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -258,6 +258,15 @@
     void update_waiting(const job_record& job);
     void begin_commit_batch();
 
+    // Crashes of upstreams (cell_crashes.cpp)
+    // Counts the crash against the tasks that may have caused it, and fails the jobs of those that have.
+    void record_crash(upstream_ledger& upstream, time_point now);
+    // Forgets the crashes of tasks whose runs have survived long enough.
+    void clear_proven_runs(upstream_ledger& upstream);
+    // Whether the task may start on the upstream in view of the crashes under it and its possible neighbors.
+    bool may_share(const upstream_ledger& upstream, const task_record& task) const;
+    double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
+
     // Reports (cell_reports.cpp)
     void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, time_point now);
     void apply_end(upstream_ledger& upstream, const ended_row& row, time_point now);
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -500,8 +500,8 @@
     check_no_violations(cell);
 }
 
-// Guards against a list of queues that grows with the configuration: each process asks for it every second, and
-// with 4,445 queues the owner sent 2.7 MB/s of queues without a pending job.
+// Guards against a list of queues that grows with the configuration: each process asks for it every second,
+// and with 4,445 queues the owner sent 2.7 MB/s of queues without a pending job.
 BOOST_AUTO_TEST_CASE(lists_only_queues_with_pending_jobs) {
     cell_fixture cell(1);
     cell.is_polling = false;
