Refuse odd entries of upstreams, and read the others of a list that holds one

Other operators report that one odd entry in the list of upstreams, written by another program, ended the processes that read it or made them stop following the list. Here it could do this: an address with a port out of range was taken as an upstream. It joined the list in the store, and the next owner would wait for its leases before it started older jobs. Numbers beyond their type were converted without a check (1e300 for the time of a start counts as a new incarnation). An item whose value is no base64 text failed the whole page, so a listing that contains one could not be read at all. Very deep nesting ended no process in the test: the parser does not recurse; it is refused from 64 levels now.

Of the users' question: processes that end, not found here; a list that is not followed any more, found and mended.

--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -1,10 +1,10 @@
 #include "connection/http_client.hpp"
 
 #include <mutex>
-#include <optional>
 #include <utility>
 
 #include "connection/client_connection.hpp"
+#include "connection/endpoint.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane {
@@ -14,23 +14,6 @@
 // A connection that was idle for longer is replaced: a middlebox may have dropped it without closing it.
 constexpr std::chrono::seconds max_idle{20};
 
-std::optional<asio::ip::tcp::endpoint> parse_endpoint(const std::string& address) {
-    const auto colon = address.rfind(':');
-    if (colon == std::string::npos) {
-        return std::nullopt;
-    }
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    if (error) {
-        return std::nullopt;
-    }
-    const int port = std::atoi(address.c_str() + colon + 1);
-    if (port < 1 || port > 65535) {
-        return std::nullopt;
-    }
-    return asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
-}
-
 }  // namespace
 
 struct http_client::address_pool {
@@ -122,8 +105,8 @@
 
 awaitable<absl::StatusOr<http_response>> http_client::fetch(std::string address, http_request request,
                                                             time_point deadline, call_options options) {
-    const auto endpoint = parse_endpoint(address);
-    if (!endpoint) {
+    const auto endpoint = parse_endpoint<asio::ip::tcp>(address);
+    if (!endpoint.ok() || endpoint->port() == 0) {
         co_return make_error(error_kind::upstream_unreachable,
                              "\"" + address + "\" is not an IP address and port");
     }
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "connection/endpoint.hpp"
 #include "connection/spawn_task.hpp"
 #include "process/error_kind.hpp"
 
@@ -73,21 +74,18 @@
 }
 
 absl::Status http_server::listen(const std::string& address) {
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    const int port = colon == std::string::npos ? -1 : std::atoi(address.c_str() + colon + 1);
-    if (error || port < 0 || port > 65535) {
-        return make_error(error_kind::bad_configuration, "\"" + address + "\" is not an IP address and port");
+    const auto endpoint = parse_endpoint<asio::ip::tcp>(address);
+    if (!endpoint.ok()) {
+        return endpoint.status();
     }
     auto& acceptor = state_->acceptor;
-    const asio::ip::tcp::endpoint endpoint(ip, static_cast<unsigned short>(port));
-    acceptor.open(endpoint.protocol(), error);
+    boost::system::error_code error;
+    acceptor.open(endpoint->protocol(), error);
     if (!error) {
         acceptor.set_option(asio::socket_base::reuse_address(true), error);
     }
     if (!error) {
-        acceptor.bind(endpoint, error);
+        acceptor.bind(*endpoint, error);
     }
     if (!error) {
         acceptor.listen(asio::socket_base::max_listen_connections, error);
--- a/src/connection/json_reader.cpp
+++ b/src/connection/json_reader.cpp
@@ -8,10 +8,37 @@
 
 const nlohmann::json empty_array = nlohmann::json::array();
 const nlohmann::json empty_object = nlohmann::json::object();
+// No message or record needs more; a parsed value of any depth would be a tree of that depth.
+constexpr int max_nesting = 64;
+
+bool is_nested_too_deep(std::string_view bytes) {
+    int depth = 0;
+    bool is_in_text = false;
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        const char c = bytes[i];
+        if (is_in_text) {
+            i += c == '\\' ? 1 : 0;
+            is_in_text = c != '"';
+        } else if (c == '"') {
+            is_in_text = true;
+        } else if (c == '[' || c == '{') {
+            if (++depth > max_nesting) {
+                return true;
+            }
+        } else if (c == ']' || c == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
 
 }  // namespace
 
 absl::StatusOr<nlohmann::json> parse_json_object(std::string_view bytes, std::string_view what) {
+    if (is_nested_too_deep(bytes)) {
+        return make_error(error_kind::bad_request, std::string(what) + " is nested more than " +
+                                                       std::to_string(max_nesting) + " levels deep");
+    }
     auto parsed = nlohmann::json::parse(bytes.begin(), bytes.end(), nullptr, false);
     if (!parsed.is_object()) {
         return make_error(error_kind::bad_request, std::string(what) + " is not a JSON object");
@@ -57,6 +84,23 @@
     return field->get<std::int64_t>();
 }
 
+std::int64_t json_reader::read_optional_number(const char* name, std::int64_t lowest, std::int64_t highest,
+                                               std::int64_t default_value) {
+    const auto* field = find(name);
+    if (field == nullptr || field->is_null()) {
+        return default_value;
+    }
+    if (!field->is_number_float()) {
+        return read_integer(name, lowest, highest);
+    }
+    const auto value = field->get<double>();
+    if (!(value >= static_cast<double>(lowest) && value <= static_cast<double>(highest))) {
+        fail(name, "is not a number from " + std::to_string(lowest) + " to " + std::to_string(highest));
+        return default_value;
+    }
+    return static_cast<std::int64_t>(value);
+}
+
 bool json_reader::read_flag(const char* name) {
     const auto* field = find(name);
     if (field == nullptr || !field->is_boolean()) {
--- a/src/connection/json_reader.hpp
+++ b/src/connection/json_reader.hpp
@@ -11,7 +11,8 @@
 
 namespace jacinthvane {
 
-// Parses a JSON object. Errors: bad_request, with a message that begins with the name in `what`.
+// Parses a JSON object whose arrays and objects are nested at most 64 deep. Errors: bad_request, with a
+// message that begins with the name in `what`.
 absl::StatusOr<nlohmann::json> parse_json_object(std::string_view bytes, std::string_view what);
 
 // Reads the fields of one JSON object. The first field that is missing or has a wrong type or range sets the
@@ -23,6 +24,9 @@
     std::string read_text(const char* name, std::size_t max_bytes);
     std::optional<std::string> read_optional_text(const char* name, std::size_t max_bytes);
     std::int64_t read_integer(const char* name, std::int64_t lowest, std::int64_t highest);
+    // The same for a field that may be missing and whose value may be a fraction, which is rounded down.
+    std::int64_t read_optional_number(const char* name, std::int64_t lowest, std::int64_t highest,
+                                      std::int64_t default_value);
     bool read_flag(const char* name);
     // Returns an array field, or an empty array if the field is missing or has another type.
     const nlohmann::json& read_array(const char* name);
--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -12,6 +12,7 @@
 
 #include "absl/status/statusor.h"
 #include "connection/async_signal.hpp"
+#include "connection/endpoint.hpp"
 #include "connection/spawn_task.hpp"
 #include "process/error_kind.hpp"
 
@@ -24,18 +25,6 @@
 // Limits the data queued in one direction, so that a slow link applies back pressure to the sender.
 constexpr std::size_t max_queued_chunks = 64;
 
-template <typename Protocol>
-absl::StatusOr<typename Protocol::endpoint> parse_address(const std::string& address) {
-    const auto colon = address.rfind(':');
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
-    const int port = colon == std::string::npos ? -1 : std::atoi(address.c_str() + colon + 1);
-    if (error || port < 0 || port > 65535) {
-        return make_error(error_kind::bad_configuration, "\"" + address + "\" is not an IP address and port");
-    }
-    return typename Protocol::endpoint(ip, static_cast<unsigned short>(port));
-}
-
 http_response make_text(int status, const std::string& text) {
     http_response response;
     response.status = status;
@@ -183,7 +172,7 @@
     : state_(std::make_shared<shared_state>(context, std::move(target))) {}
 
 absl::Status link_relay::listen_tcp(const std::string& address) {
-    const auto endpoint = parse_address<asio::ip::tcp>(address);
+    const auto endpoint = parse_endpoint<asio::ip::tcp>(address);
     if (!endpoint.ok()) {
         return endpoint.status();
     }
@@ -204,7 +193,7 @@
 }
 
 absl::Status link_relay::listen_udp(const std::string& address) {
-    const auto endpoint = parse_address<asio::ip::udp>(address);
+    const auto endpoint = parse_endpoint<asio::ip::udp>(address);
     if (!endpoint.ok()) {
         return endpoint.status();
     }
@@ -287,7 +276,7 @@
 awaitable<void> link_relay::relay_connection(std::shared_ptr<shared_state> state,
                                              asio::ip::tcp::socket client) {
     const auto number = ++state->next_connection;
-    const auto endpoint = parse_address<asio::ip::tcp>(state->target);
+    const auto endpoint = parse_endpoint<asio::ip::tcp>(state->target);
     if (!endpoint.ok()) {
         co_return;
     }
@@ -358,7 +347,7 @@
 }
 
 awaitable<void> link_relay::relay_datagrams(std::shared_ptr<shared_state> state) {
-    const auto endpoint = parse_address<asio::ip::udp>(state->target);
+    const auto endpoint = parse_endpoint<asio::ip::udp>(state->target);
     if (!endpoint.ok()) {
         co_return;
     }
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "absl/strings/escaping.h"
 #include "connection/cell_records.hpp"
 #include "platform/config_codec.hpp"
 #include "platform/job_codec.hpp"
@@ -138,6 +139,73 @@
     }
 }
 
+// Guards against one odd entry of another writer that ends the processes which read the list, or that is
+// used: very deep nesting, numbers that are too large for their field, and addresses that no connection can
+// be made to.
+BOOST_AUTO_TEST_CASE(refuses_odd_upstream_entries) {
+    constexpr std::size_t depth = 200000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    std::string objects;
+    for (std::size_t i = 0; i < depth; ++i) {
+        objects += "{\"a\":";
+    }
+    objects += "1" + std::string(depth, '}');
+    const auto replace = [](const std::string& old_text, const std::string& new_text) {
+        auto value = entry_value;
+        value.replace(value.find(old_text), old_text.size(), new_text);
+        return value;
+    };
+    const std::vector<std::string> cases = {
+        nested,
+        objects,
+        replace(R"(["a","r1-3"])", nested),
+        replace(R"("Labels")", R"("Other":)" + objects + R"(,"Labels")"),
+        replace("2500", "1e30"),
+        replace("2500", "99999999999999999999"),
+        replace("2500", "-1"),
+        replace("17", "1e300"),
+        replace("17", "18446744073709551615"),
+        replace("16000", "1e400"),
+        replace("16000", "99999999999"),
+        replace("10.0.0.9:8080", "10.0.0.9:99999"),
+        replace("10.0.0.9:8080", "10.0.0.9:0"),
+        replace("10.0.0.9:8080", "10.0.0.9:-1"),
+        replace("10.0.0.9:8080", "10.0.0.9:80x"),
+        replace("10.0.0.9:8080", "10.0.0.9:18446744073709551696"),
+        replace("10.0.0.9:8080", "10.0.0.9"),
+        replace("10.0.0.9:8080", "host:8080"),
+        replace("10.0.0.9:8080", ""),
+    };
+    for (const auto& value : cases) {
+        BOOST_TEST_CONTEXT(value.substr(0, 120)) {
+            BOOST_TEST(!platform::decode_upstream_entry("u", value).ok());
+        }
+    }
+    BOOST_TEST(platform::decode_upstream_entry("u", entry_value).ok());
+}
+
+// Guards against a list that cannot be read any more because of one entry in it: the others must hold.
+BOOST_AUTO_TEST_CASE(reads_a_listing_that_contains_odd_values) {
+    constexpr std::size_t depth = 100000;
+    const std::string odd = absl::Base64Escape(std::string(depth, '['));
+    const auto page = platform::decode_page(
+        R"({"items":[{"Key":"servers/a","Value":")" + odd +
+        R"(","Rev":1},{"Key":"servers/b","Value":"!","Rev":2},)" +
+        R"({"Key":"servers/c","Value":"bm9kZS0x","Rev":3},{"Key":"servers/d","Value":7,"Rev":3},)" +
+        R"({"Rev":4},7],"At":9,"MorePages":false})");
+    BOOST_REQUIRE(page.ok());
+    BOOST_REQUIRE(page->listing.items.size() == 2U);
+    BOOST_TEST(page->listing.items[1].key == "servers/c");
+    BOOST_TEST(page->listing.items[1].value == "node-1");
+    const auto changes = platform::decode_changes(
+        R"({"events":[{"Key":"servers/b","Value":"!","Rev":2},{"Key":"servers/c","Value":"bm9kZS0x","Rev":3}],"At":9})");
+    BOOST_REQUIRE(changes.ok());
+    BOOST_REQUIRE(changes->changes.size() == 1U);
+    BOOST_TEST(changes->revision == 9U);
+    const auto mistyped = platform::decode_page(R"({"items":[],"At":9,"MorePages":"yes"})");
+    BOOST_TEST(!mistyped.ok());
+}
+
 BOOST_AUTO_TEST_CASE(reads_a_configuration) {
     const auto config = platform::decode_config(config_value);
     BOOST_REQUIRE(config.ok());
