Keep a relay that receives a large configuration, and know the others before the first read

Two faults of the new relays, found by config_spread_test beside other tests (1 of 20 processes had version 2 after 4 s; the same test had passed alone). First, a relay confirms nothing while a large value arrives, so after 1.25 s the processes below it took it for left behind and read the value from the store themselves, over the same link. A report now tells whether the relay's own source responded last time; such a relay is kept, however long its read takes, and those below learn at once when its source is lost. Second, processes that start together did not know each other yet, and all of them waited at the store for the next change. Each now registers before it reads the list, so of each pair one knows the other, and one without a relay waits up to 0.4 s for a stronger one.

Also: the removal of the record of a process that stops no longer delays the hand-over of the cell; the first query to a relay has 0.5 s instead of 1.7 s, since a dead one cost more than half of the bound; a scheduler keeps the newer of two versions that reach it in the wrong order.

The new test has a link on which one copy takes 1.9 s and twelve do not fit into the bound; it was not run on the code before.

--- a/src/connection/config_records.cpp
+++ b/src/connection/config_records.cpp
@@ -62,7 +62,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, config_report& report) {
-    archive(report.update, report.revision, report.confirmation, report.age_ms, report.held_ms);
+    archive(report.update, report.revision, report.confirmation, report.age_ms, report.held_ms,
+            report.is_source_alive);
 }
 
 namespace {
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -125,7 +125,8 @@
         owner = owner_;
         lease = lease_;
     }
-    co_await directory_->stop(deadline);
+    // Beside the hand-over, which must not wait for a slow store.
+    spawn_task(context_, "remove_peer_record", directory_->stop(deadline));
     if (owner == nullptr || owner->is_over()) {
         co_return;
     }
--- a/src/request/config_follower.cpp
+++ b/src/request/config_follower.cpp
@@ -32,12 +32,17 @@
 // How long a relay holds a query. Longer than store_wait_ms, since a confirmation comes once in that time.
 constexpr std::int64_t relay_wait_ms = 1300;
 constexpr milliseconds relay_margin{400};
+// The same for the first query to a relay. It has to show soon whether the relay is there, and a relay with a
+// configuration responds to it at once.
+constexpr std::int64_t first_wait_ms = 100;
 // A relay whose last confirmation is older has lost its own source.
 constexpr milliseconds max_relay_age{1250};
-constexpr milliseconds avoidance{3000};
+constexpr milliseconds avoidance{5000};
 // How long a new process waits for the list of the others, so that it need not read from the store.
 constexpr milliseconds max_list_wait{1000};
 constexpr milliseconds list_check_interval{20};
+// How long it then waits for a stronger one that starts at the same time.
+constexpr milliseconds max_settle_wait{400};
 // Allows for the time between the check and the response.
 constexpr milliseconds bound_margin{100};
 constexpr std::size_t max_history = 4;
@@ -86,10 +91,7 @@
 }
 
 awaitable<void> config_follower::follow(std::shared_ptr<config_follower> self) {
-    const auto list_deadline = get_deadline(max_list_wait);
-    while (!self->directory_->is_loaded() && std::chrono::steady_clock::now() < list_deadline) {
-        co_await wait_until(get_deadline(list_check_interval));
-    }
+    co_await self->wait_for_peers();
     while (true) {
         {
             std::lock_guard lock(self->mutex_);
@@ -108,6 +110,18 @@
     }
 }
 
+awaitable<void> config_follower::wait_for_peers() {
+    const auto list_deadline = get_deadline(max_list_wait);
+    while (!directory_->is_loaded() && std::chrono::steady_clock::now() < list_deadline) {
+        co_await wait_until(get_deadline(list_check_interval));
+    }
+    const auto settle_deadline = get_deadline(max_settle_wait);
+    while (!find_relay(std::chrono::steady_clock::now()) &&
+           std::chrono::steady_clock::now() < settle_deadline) {
+        co_await wait_until(get_deadline(list_check_interval));
+    }
+}
+
 std::optional<live_peer> config_follower::find_relay(time_point now) {
     std::erase_if(avoided_until_, [now](const auto& entry) { return entry.second <= now; });
     auto peers = directory_->get_peers();
@@ -119,6 +133,18 @@
     LOG(INFO) << "event=relay_avoided relay=" << relay.process << " reason=\"" << reason << "\"";
     avoided_until_[relay.process] = get_deadline(avoidance);
     position_ = relay_position();
+    set_source_alive(false);
+}
+
+void config_follower::set_source_alive(bool is_alive) {
+    {
+        std::lock_guard lock(mutex_);
+        if (is_source_alive_ == is_alive) {
+            return;
+        }
+        is_source_alive_ = is_alive;
+    }
+    changed_.notify_all();
 }
 
 awaitable<bool> config_follower::follow_relay(live_peer relay) {
@@ -126,11 +152,12 @@
         LOG(INFO) << "event=relay_chosen relay=" << relay.process << " address=" << relay.address;
         position_ = {relay.process, 0};
     }
-    const auto request = make_config_query({get_version(), position_.confirmation, relay_wait_ms});
+    const auto wait_ms = position_.confirmation == 0 ? first_wait_ms : relay_wait_ms;
+    const auto request = make_config_query({get_version(), position_.confirmation, wait_ms});
     call_options options;
     options.late = late_response::read_while_arriving;
     const auto sent_at = get_suspend_aware_now();
-    const auto deadline = get_deadline(milliseconds(relay_wait_ms) + relay_margin);
+    const auto deadline = get_deadline(milliseconds(wait_ms) + relay_margin);
     const auto response = co_await peers_.fetch(relay.address, request, deadline, options);
     if (!response.ok()) {
         if (get_error_kind(response.status()) != error_kind::call_delayed) {
@@ -154,12 +181,16 @@
         co_return false;
     }
     position_.confirmation = report->confirmation;
-    co_return !is_left_behind(relay, *report);
+    if (is_left_behind(relay, *report)) {
+        co_return false;
+    }
+    set_source_alive(report->is_source_alive);
+    co_return true;
 }
 
 bool config_follower::is_left_behind(const live_peer& relay, const config_report& report) {
     const auto now = std::chrono::steady_clock::now();
-    if (milliseconds(report.age_ms) <= max_relay_age) {
+    if (report.is_source_alive || milliseconds(report.age_ms) <= max_relay_age) {
         return false;
     }
     // Two relays in a row that are left behind point to the store. All processes at the store at once would
@@ -196,6 +227,7 @@
     const bool is_history_lost =
         !state.ok() && get_error_kind(state.status()) == error_kind::version_conflict;
     hooks_.record_store_read(state.ok() || is_history_lost);
+    set_source_alive(state.ok() || is_history_lost);
     if (!state.ok()) {
         needs_read_ = needs_read_ || is_history_lost;
         if (!is_history_lost) {
@@ -294,6 +326,7 @@
     }
     report.revision = revision_;
     report.confirmation = confirmation_;
+    report.is_source_alive = is_source_alive_;
     report.age_ms = duration_cast<milliseconds>(get_suspend_aware_now() - confirmed_at_).count() + 1;
     const auto& config = queues_->get_config();
     if (config.version <= query.version) {
@@ -314,17 +347,20 @@
     const auto received_at = std::chrono::steady_clock::now();
     const auto max_wait = milliseconds(std::clamp<std::int64_t>(query.wait_ms, 0, relay_wait_ms));
     const auto deadline = received_at + max_wait;
+    bool was_source_alive = false;
     while (true) {
         const auto seen = changed_.get_count();
         auto report = make_report(query);
+        const bool has_lost_source = was_source_alive && !report.is_source_alive;
         const bool is_news =
-            report.revision > 0 && (report.confirmation != query.confirmation ||
+            report.revision > 0 && (report.confirmation != query.confirmation || has_lost_source ||
                                     !std::holds_alternative<config_unchanged>(report.update));
         if (is_news || std::chrono::steady_clock::now() >= deadline) {
             const auto held = std::chrono::steady_clock::now() - received_at;
             report.held_ms = duration_cast<milliseconds>(held).count();
             co_return report;
         }
+        was_source_alive = report.is_source_alive;
         co_await changed_.wait(seen, deadline);
     }
 }
--- a/src/request/config_follower.hpp
+++ b/src/request/config_follower.hpp
@@ -60,6 +60,8 @@
     };
 
     static awaitable<void> follow(std::shared_ptr<config_follower> self);
+    // Waits until the other processes are known.
+    awaitable<void> wait_for_peers();
     // Returns the relay to ask now: processes that failed recently are left out of the tree.
     std::optional<live_peer> find_relay(time_point now);
     void avoid(const live_peer& relay, const std::string& reason);
@@ -69,6 +71,7 @@
     awaitable<bool> follow_store();
     absl::Status apply(const config_report& report, time_point confirmed_at);
     absl::Status install(const config_update& update);
+    void set_source_alive(bool is_alive);
     // Records that the configuration in force was the newest one at this time.
     void confirm(time_point confirmed_at, std::uint64_t revision);
     config_report make_report(const config_query& query) const;
@@ -89,6 +92,8 @@
     time_point confirmed_at_;
     std::uint64_t confirmation_ = 0;
     std::uint64_t revision_ = 0;
+    // The last exchange with the relay or the store succeeded.
+    bool is_source_alive_ = false;
     // Used by the coroutine that follows the configuration only.
     relay_position position_;
     std::map<std::string, time_point> avoided_until_;
--- a/src/request/peer_directory.cpp
+++ b/src/request/peer_directory.cpp
@@ -25,6 +25,7 @@
 constexpr milliseconds watch_margin{1000};
 // Many processes start or stop at the same time; their records are read with one call.
 constexpr milliseconds batch_window{300};
+constexpr milliseconds startup_time{1000};
 
 time_point get_deadline(milliseconds timeout) {
     return std::chrono::steady_clock::now() + timeout;
@@ -41,7 +42,6 @@
       lease_ms_(std::max(record_lease_ms, min_lease_ms)) {}
 
 void peer_directory::start() {
-    spawn_task(context_, "keep_registered", keep_registered(shared_from_this()));
     spawn_task(context_, "follow_peers", follow(shared_from_this()));
 }
 
@@ -137,6 +137,10 @@
 
 awaitable<void> peer_directory::follow(std::shared_ptr<peer_directory> self) {
     const std::string prefix(peer_prefix);
+    // Of processes that start at the same time, each pair then has one that knows the other.
+    self->lease_ = co_await self->write_record();
+    spawn_task(self->context_, "keep_registered", keep_registered(self));
+    const auto started_at = std::chrono::steady_clock::now();
     std::uint64_t revision = 0;
     while (!self->is_stopping_) {
         if (revision == 0 && !co_await self->load(revision)) {
@@ -155,7 +159,8 @@
         for (const auto& change : changes->changes) {
             self->apply(change.item, change.is_removed);
         }
-        if (!changes->changes.empty()) {
+        // The first changes come from processes that start together with this one.
+        if (!changes->changes.empty() && std::chrono::steady_clock::now() > started_at + startup_time) {
             co_await wait_until(get_deadline(batch_window));
         }
     }
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -20,7 +20,9 @@
     : limits_(limits), token_(token), owner_since_(owner_since) {}
 
 void cell_scheduler::set_queues(std::shared_ptr<const queue_index> queues) {
-    queues_ = std::move(queues);
+    // A change may arrive while the owner starts with the version before.
+    const bool is_older = queues_ && queues && queues->get_config().version < queues_->get_config().version;
+    queues_ = is_older ? queues_ : std::move(queues);
 }
 
 void cell_scheduler::add_job(const job_id& id, std::shared_ptr<const accepted_job> job,
--- a/src/version/config_report.hpp
+++ b/src/version/config_report.hpp
@@ -30,6 +30,9 @@
     std::int64_t age_ms = 0;
     // How long the relay held the query.
     std::int64_t held_ms = 0;
+    // The relay's own source responded last time, and its next response is on the way. A large configuration
+    // takes long to arrive, and a relay that receives one must not be abandoned.
+    bool is_source_alive = false;
 
     bool operator==(const config_report&) const = default;
 };
--- a/tests/config_spread_test.cpp
+++ b/tests/config_spread_test.cpp
@@ -198,6 +198,25 @@
     });
 }
 
+// Guards against processes that abandon their relay while it receives a large configuration, and then all
+// read it themselves: the link was so slow for that many copies that nobody got it.
+BOOST_AUTO_TEST_CASE(a_relay_that_receives_for_long_is_not_abandoned) {
+    constexpr std::size_t process_count = 12;
+    constexpr std::int64_t link_bytes_per_second = 400'000;
+    two_regions regions(process_count, link_bytes_per_second);
+    run_coroutine(regions.context, [&]() -> awaitable<void> {
+        regions.write_config(1, 10);
+        BOOST_TEST(co_await regions.wait_for_version(1, after(config_bound)));
+        const auto before = co_await regions.count_link_bytes();
+        constexpr std::size_t queues = 3000;
+        regions.write_config(2, queues);
+        BOOST_TEST(co_await regions.wait_for_version(2, after(config_bound)));
+        const auto value_bytes = encode_config(2, queues).size() * 4 / 3;
+        const auto link_bytes = co_await regions.count_link_bytes() - before;
+        BOOST_TEST(link_bytes < 2 * value_bytes);
+    });
+}
+
 // Guards against processes that stay without a new configuration because the one that they get it from is
 // gone and still listed.
 BOOST_AUTO_TEST_CASE(a_change_reaches_the_processes_whose_relay_is_gone) {
