Watch from the known revision when a relay is lost, instead of reading the whole value again

A process that had its configuration from a relay began with a full read when it had to turn to the store, although it knew the revision from which a watch continues: after the loss of a relay, each process below it fetched an unchanged value. Found by reading the change. Now only a store without a known revision, or one that has discarded the history, is read in full. The new test bounds the bytes on the link after all relays are lost; it was not run on the code before.

--- a/src/request/config_follower.cpp
+++ b/src/request/config_follower.cpp
@@ -61,7 +61,7 @@
       directory_(std::move(directory)),
       config_bound_(config_bound),
       hooks_(std::move(hooks)),
-      peers_(context, relay_connections) {}
+      relay_client_(context, relay_connections) {}
 
 void config_follower::start() {
     spawn_task(context_, "follow_config", follow(shared_from_this()));
@@ -158,7 +158,7 @@
     options.late = late_response::read_while_arriving;
     const auto sent_at = get_suspend_aware_now();
     const auto deadline = get_deadline(milliseconds(wait_ms) + relay_margin);
-    const auto response = co_await peers_.fetch(relay.address, request, deadline, options);
+    const auto response = co_await relay_client_.fetch(relay.address, request, deadline, options);
     if (!response.ok()) {
         if (get_error_kind(response.status()) != error_kind::call_delayed) {
             avoid(relay, std::string(response.status().message()));
@@ -215,7 +215,8 @@
         // Without a recent confirmation the first watch only has to bring one.
         wait_ms = sent_at > confirmed_at_ + max_relay_age ? 0 : store_wait_ms;
     }
-    const bool is_watch = !needs_read_ && revision > 0;
+    // A watch from a known revision brings no value that has not changed.
+    const bool is_watch = revision > 0 && !is_history_lost_;
     absl::StatusOr<config_state> state = absl::UnknownError("not read");
     if (is_watch) {
         const auto deadline = get_deadline(milliseconds(wait_ms) + store_margin);
@@ -229,14 +230,14 @@
     hooks_.record_store_read(state.ok() || is_history_lost);
     set_source_alive(state.ok() || is_history_lost);
     if (!state.ok()) {
-        needs_read_ = needs_read_ || is_history_lost;
+        is_history_lost_ = is_history_lost_ || is_history_lost;
         if (!is_history_lost) {
             LOG(WARNING) << "event=config_read_failed full=" << !is_watch << " after_ms=" << time.count()
                          << " error=\"" << state.status().message() << "\"";
         }
         co_return is_history_lost;
     }
-    needs_read_ = false;
+    is_history_lost_ = false;
     if (state->config != nullptr) {
         dispatch_config config = *state->config;
         sort_queues(config);
@@ -254,6 +255,7 @@
     if (auto status = install(report.update); !status.ok()) {
         return status;
     }
+    is_history_lost_ = false;
     confirm(confirmed_at, report.revision);
     return absl::OkStatus();
 }
--- a/src/request/config_follower.hpp
+++ b/src/request/config_follower.hpp
@@ -82,7 +82,7 @@
     const std::shared_ptr<peer_directory> directory_;
     const std::chrono::milliseconds config_bound_;
     const callbacks hooks_;
-    http_client peers_;
+    http_client relay_client_;
     mutable ordered_mutex mutex_{lock_rank::config_follower};
     bool is_stopping_ = false;
     std::shared_ptr<const queue_index> queues_;
@@ -98,7 +98,8 @@
     relay_position position_;
     std::map<std::string, time_point> avoided_until_;
     time_point left_behind_until_;
-    bool needs_read_ = true;
+    // The store no longer holds the history from the known revision.
+    bool is_history_lost_ = false;
     async_signal changed_;
 };
 
--- a/tests/config_spread_test.cpp
+++ b/tests/config_spread_test.cpp
@@ -217,6 +217,27 @@
     });
 }
 
+// Guards against values that cross the link although they have not changed, because a process that has lost
+// its relay reads the configuration again from the store.
+BOOST_AUTO_TEST_CASE(processes_without_a_relay_read_no_unchanged_value) {
+    constexpr std::size_t process_count = 6;
+    two_regions regions(process_count, 0);
+    run_coroutine(regions.context, [&]() -> awaitable<void> {
+        constexpr std::size_t queues = 2000;
+        regions.write_config(1, queues);
+        BOOST_TEST(co_await regions.wait_for_version(1, after(config_bound)));
+        const auto before = co_await regions.count_link_bytes();
+        for (const auto& process : regions.processes) {
+            process->set_unreachable();
+        }
+        co_await wait_until(after(seconds(4)));
+        BOOST_TEST(co_await regions.count_link_bytes() - before < encode_config(1, queues).size());
+        for (const auto& process : regions.processes) {
+            BOOST_TEST(process->get_member().is_config_current());
+        }
+    });
+}
+
 // Guards against processes that stay without a new configuration because the one that they get it from is
 // gone and still listed.
 BOOST_AUTO_TEST_CASE(a_change_reaches_the_processes_whose_relay_is_gone) {
