--- a/src/process/error_kind.cpp
+++ b/src/process/error_kind.cpp
@@ -47,7 +47,7 @@
     error_mapping{error_kind::no_capacity, "no_capacity", 503, not_run, 500, 7,
                   "no upstream has enough free capacity now"},
     error_mapping{error_kind::not_ready, "not_ready", 503, not_run, 2000, 7,
-                  "the process has no configuration yet"},
+                  "the process has no current configuration"},
     error_mapping{error_kind::shutting_down, "shutting_down", 503, not_run, 100, 7,
                   "the process is shutting down"},
     error_mapping{error_kind::store_unavailable, "store_unavailable", 503, not_run, 2000, 9,
--- a/tests/front_handler_test.cpp
+++ b/tests/front_handler_test.cpp
@@ -55,7 +55,7 @@
         request.method = std::string(method);
         request.target = std::string(path);
         request.headers["Host"] = "host.example";
-        request.body = std::move(body);
+        request.body = std::string(body);
         const platform::front_handler handler(member, jobs);
         const auto response = co_await handler.handle(request);
         co_return response.status;
