--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -38,10 +38,6 @@
 constexpr std::int64_t max_jitter_ms = 40;
 constexpr milliseconds max_contest_delay{800};
 
-time_point get_deadline(milliseconds timeout) {
-    return std::chrono::steady_clock::now() + timeout;
-}
-
 live_peer make_peer(const entry_settings& settings, const std::string& process_name) {
     return {process_name, settings.peer_address, settings.place, settings.link_mbps,
             settings.processors_milli};
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -66,7 +66,7 @@
     const std::string process_name_;
     metrics& metrics_;
     const std::shared_ptr<peer_directory> directory_;
-    // Made by start, like all that refers to this object.
+    // Created by start, since its callbacks hold a weak reference to this object.
     std::shared_ptr<config_follower> configs_;
     mutable ordered_mutex mutex_{lock_rank::cell_member};
     std::shared_ptr<cell_owner> owner_;
--- a/src/request/config_follower.cpp
+++ b/src/request/config_follower.cpp
@@ -47,10 +47,6 @@
 constexpr milliseconds bound_margin{100};
 constexpr std::size_t max_history = 4;
 
-time_point get_deadline(milliseconds timeout) {
-    return std::chrono::steady_clock::now() + timeout;
-}
-
 }  // namespace
 
 config_follower::config_follower(asio::io_context& context, registry_port registry,
@@ -67,14 +63,6 @@
     spawn_task(context_, "follow_config", follow(shared_from_this()));
 }
 
-void config_follower::stop() {
-    {
-        std::lock_guard lock(mutex_);
-        is_stopping_ = true;
-    }
-    changed_.notify_all();
-}
-
 std::shared_ptr<const queue_index> config_follower::get_queues() const {
     std::lock_guard lock(mutex_);
     return queues_;
@@ -93,12 +81,6 @@
 awaitable<void> config_follower::follow(std::shared_ptr<config_follower> self) {
     co_await self->wait_for_peers();
     while (true) {
-        {
-            std::lock_guard lock(self->mutex_);
-            if (self->is_stopping_) {
-                co_return;
-            }
-        }
         const auto relay = self->find_relay(std::chrono::steady_clock::now());
         if (relay && co_await self->follow_relay(*relay)) {
             continue;
--- a/src/request/config_follower.hpp
+++ b/src/request/config_follower.hpp
@@ -36,8 +36,9 @@
                     std::shared_ptr<peer_directory> directory, std::chrono::milliseconds config_bound,
                     callbacks hooks);
 
+    // Follows the configuration until the process ends, also while it shuts down: it serves requests, and is
+    // the relay of others, until then.
     void start();
-    void stop();
 
     // Returns the queues of the configuration in force, or null if none has been read yet.
     std::shared_ptr<const queue_index> get_queues() const;
@@ -51,7 +52,7 @@
     awaitable<config_report> get_report(config_query query);
 
 private:
-    // The relay that a confirmation number belongs to.
+    // The relay that was asked last, and the last confirmation number that it sent.
     struct relay_position {
         std::string process;
         std::uint64_t confirmation = 0;
@@ -84,7 +85,6 @@
     const callbacks hooks_;
     http_client relay_client_;
     mutable ordered_mutex mutex_{lock_rank::config_follower};
-    bool is_stopping_ = false;
     std::shared_ptr<const queue_index> queues_;
     // The last configurations, the newest one last, to which deltas can be made.
     std::deque<std::shared_ptr<const dispatch_config>> history_;
--- a/src/request/peer_directory.cpp
+++ b/src/request/peer_directory.cpp
@@ -27,10 +27,6 @@
 constexpr milliseconds batch_window{300};
 constexpr milliseconds startup_time{1000};
 
-time_point get_deadline(milliseconds timeout) {
-    return std::chrono::steady_clock::now() + timeout;
-}
-
 }  // namespace
 
 peer_directory::peer_directory(asio::io_context& context, cell_store store, vm_id vm, live_peer self,
@@ -137,7 +133,7 @@
 
 awaitable<void> peer_directory::follow(std::shared_ptr<peer_directory> self) {
     const std::string prefix(peer_prefix);
-    // Of processes that start at the same time, each pair then has one that knows the other.
+    // Registers before it lists, so that of two processes that start together at least one sees the other.
     self->lease_ = co_await self->write_record();
     spawn_task(self->context_, "keep_registered", keep_registered(self));
     const auto started_at = std::chrono::steady_clock::now();
--- a/src/request/store_timing.hpp
+++ b/src/request/store_timing.hpp
@@ -11,9 +11,14 @@
 // Pause before a failed call is repeated.
 constexpr std::chrono::milliseconds store_retry_delay{150};
 
+// Returns the deadline of something that begins now.
+inline time_point get_deadline(std::chrono::milliseconds timeout) {
+    return std::chrono::steady_clock::now() + timeout;
+}
+
 // Returns the deadline of a store call that is sent now.
 inline time_point get_store_deadline() {
-    return std::chrono::steady_clock::now() + store_timeout;
+    return get_deadline(store_timeout);
 }
 
 }  // namespace jacinthvane
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -80,7 +80,7 @@
     return transaction;
 }
 
-// Holds the coroutines of the calls. Each names its arguments, see the rules for contributors.
+// Carries out the calls on the store.
 class call_handler {
 public:
     explicit call_handler(std::shared_ptr<memory_cell_store> store) : store_(std::move(store)) {}
