Install a configuration without copies in between

Read once more: a configuration from the store was copied into a sorted value, into the variant of a relay's report, and from there into the value that is kept, although a store never sends changes. Now the three forms of a report are resolved where a report arrives, and install takes the value that is kept. An error that could not occur for the store's form is gone.

--- a/src/request/config_follower.cpp
+++ b/src/request/config_follower.cpp
@@ -221,10 +221,9 @@
     }
     is_history_lost_ = false;
     if (state->config != nullptr) {
-        dispatch_config config = *state->config;
-        sort_queues(config);
-        const auto status = install(std::move(config));
-        LOG_IF(ERROR, !status.ok()) << "event=config_not_installed error=\"" << status.message() << "\"";
+        auto sorted = std::make_shared<dispatch_config>(*state->config);
+        sort_queues(*sorted);
+        install(std::move(sorted), "full");
     }
     // An empty watch proves that nothing had changed when it ended. Any other read proves it for the time at
     // which it was sent only.
@@ -234,58 +233,49 @@
 }
 
 absl::Status config_follower::apply(const config_report& report, time_point confirmed_at) {
-    if (auto status = install(report.update); !status.ok()) {
-        return status;
-    }
-    is_history_lost_ = false;
-    confirm(confirmed_at, report.revision);
-    return absl::OkStatus();
-}
-
-absl::Status config_follower::install(const config_update& update) {
     struct visitor {
-        const std::shared_ptr<const queue_index>& present;
+        config_follower& follower;
 
-        absl::StatusOr<std::shared_ptr<const dispatch_config>> operator()(const config_unchanged&) const {
-            return std::shared_ptr<const dispatch_config>();
-        }
-        absl::StatusOr<std::shared_ptr<const dispatch_config>> operator()(const config_delta& delta) const {
+        absl::Status operator()(const config_unchanged&) const { return absl::OkStatus(); }
+        absl::Status operator()(const config_delta& delta) const {
+            const auto present = follower.get_queues();
             auto next = apply_delta(present == nullptr ? dispatch_config() : present->get_config(), delta);
-            if (!next.ok()) {
-                return next.status();
+            if (next.ok()) {
+                follower.install(std::make_shared<const dispatch_config>(std::move(*next)), "delta");
             }
-            return std::make_shared<const dispatch_config>(std::move(*next));
+            return next.status();
         }
-        absl::StatusOr<std::shared_ptr<const dispatch_config>> operator()(
-            const dispatch_config& config) const {
-            return std::make_shared<const dispatch_config>(config);
+        absl::Status operator()(const dispatch_config& config) const {
+            follower.install(std::make_shared<const dispatch_config>(config), "full");
+            return absl::OkStatus();
         }
     };
-    const auto present = get_queues();
-    const auto next = std::visit(visitor{present}, update);
-    if (!next.ok()) {
-        return next.status();
+    if (auto status = std::visit(visitor{*this}, report.update); !status.ok()) {
+        return status;
     }
-    const bool is_newer =
-        *next != nullptr && (present == nullptr || (*next)->version > present->get_config().version);
-    if (!is_newer) {
-        return absl::OkStatus();
+    is_history_lost_ = false;
+    confirm(confirmed_at, report.revision);
+    return absl::OkStatus();
+}
+
+void config_follower::install(std::shared_ptr<const dispatch_config> next, const char* form) {
+    const auto present = get_queues();
+    if (present != nullptr && next->version <= present->get_config().version) {
+        return;
     }
-    const auto queues = std::make_shared<const queue_index>(*next);
+    const auto queues = std::make_shared<const queue_index>(next);
     {
         std::lock_guard lock(mutex_);
         queues_ = queues;
-        history_.push_back(*next);
+        history_.push_back(next);
         if (history_.size() > max_history) {
             history_.pop_front();
         }
     }
     changed_.notify_all();
-    LOG(INFO) << "event=config_installed version=" << (*next)->version << " queues=" << (*next)->queues.size()
-              << " form=" << (std::holds_alternative<config_delta>(update) ? "delta" : "full")
-              << " relay=" << (position_.process.empty() ? "none" : position_.process);
+    LOG(INFO) << "event=config_installed version=" << next->version << " queues=" << next->queues.size()
+              << " form=" << form << " relay=" << (position_.process.empty() ? "none" : position_.process);
     hooks_.install(queues);
-    return absl::OkStatus();
 }
 
 void config_follower::confirm(time_point confirmed_at, std::uint64_t revision) {
--- a/src/request/config_follower.hpp
+++ b/src/request/config_follower.hpp
@@ -71,7 +71,8 @@
     bool is_left_behind(const live_peer& relay, const config_report& report);
     awaitable<bool> follow_store();
     absl::Status apply(const config_report& report, time_point confirmed_at);
-    absl::Status install(const config_update& update);
+    // Puts a sorted configuration in force if it is newer than the present one. The form is for the log.
+    void install(std::shared_ptr<const dispatch_config> next, const char* form);
     void set_source_alive(bool is_alive);
     // Records that the configuration in force was the newest one at this time.
     void confirm(time_point confirmed_at, std::uint64_t revision);
