--- a/src/request/peer_queries.cpp
+++ b/src/request/peer_queries.cpp
@@ -8,6 +8,7 @@
 
 #include "connection/config_records.hpp"
 #include "connection/json_reader.hpp"
+#include "connection/json_response.hpp"
 #include "process/error_kind.hpp"
 #include "request/cell_member.hpp"
 
@@ -36,14 +37,6 @@
     return std::nullopt;
 }
 
-http_response make_response(int status, const json& body) {
-    http_response response;
-    response.status = status;
-    response.headers["Content-Type"] = "application/json";
-    response.body = body.dump();
-    return response;
-}
-
 json make_queue_json(const queue_status& status) {
     return {{"queue", status.queue}, {"pending", status.pending}};
 }
@@ -65,16 +58,16 @@
     if (request.get_path() == job_path) {
         const auto state = owner.get_state(job_id(request.get_query("job")), request.get_query("queue"));
         if (!state) {
-            return make_response(not_found_status, {{"message", "no such job"}});
+            return make_json_response(not_found_status, {{"message", "no such job"}});
         }
-        return make_response(ok_status, {{"state", get_name(*state)}});
+        return make_json_response(ok_status, {{"state", get_name(*state)}});
     }
     if (request.get_path() == status_path) {
         json queues = json::array();
         for (const auto& status : owner.get_queue_statuses()) {
             queues.push_back(make_queue_json(status));
         }
-        return make_response(ok_status, {{"queues", std::move(queues)}});
+        return make_json_response(ok_status, {{"queues", std::move(queues)}});
     }
     if (request.get_path() == dump_path) {
         http_response response;
@@ -82,7 +75,7 @@
         response.body = owner.dump_state();
         return response;
     }
-    return make_response(not_found_status, {{"message", "there is no such query"}});
+    return make_json_response(not_found_status, {{"message", "there is no such query"}});
 }
 
 }  // namespace
@@ -170,7 +163,7 @@
     }
     const auto owner = member->get_owner();
     if (owner == nullptr || !owner->is_loaded()) {
-        co_return make_response(not_owner_status, {{"message", "this process does not own the cell"}});
+        co_return make_json_response(not_owner_status, {{"message", "this process does not own the cell"}});
     }
     auto response = respond_as_owner(request, *owner);
     owner->record_query(response.body.size());
--- a/standin/platform_store.cpp
+++ b/standin/platform_store.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
+#include "connection/json_response.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane::standin {
@@ -26,22 +27,14 @@
 constexpr std::string_view renew_path = "/-/kv-keep/";
 constexpr std::string_view end_path = "/-/kv-lease-end/";
 
-http_response make_response(int status, const json& body) {
-    http_response response;
-    response.status = status;
-    response.headers["Content-Type"] = "application/json";
-    response.body = body.dump();
-    return response;
-}
-
 http_response make_failure(const absl::Status& status) {
     switch (get_error_kind(status)) {
         case error_kind::not_found:
-            return make_response(not_found_status, json::object());
+            return make_json_response(not_found_status, json::object());
         case error_kind::version_conflict:
-            return make_response(history_unavailable_status, json::object());
+            return make_json_response(history_unavailable_status, json::object());
         default:
-            return make_response(unavailable_status, json::object());
+            return make_json_response(unavailable_status, json::object());
     }
 }
 
@@ -109,8 +102,8 @@
         if (!item.ok()) {
             co_return make_failure(item.status());
         }
-        co_return item->revision == 0 ? make_response(not_found_status, json::object())
-                                      : make_response(200, encode_item(*item));
+        co_return item->revision == 0 ? make_json_response(not_found_status, json::object())
+                                      : make_json_response(200, encode_item(*item));
     }
 
     awaitable<http_response> list(http_request request) const {
@@ -132,7 +125,7 @@
             }
             items.push_back(encode_item(item));
         }
-        co_return make_response(
+        co_return make_json_response(
             200, {{"items", std::move(items)}, {"MorePages", has_more}, {"At", listing->revision}});
     }
 
@@ -151,7 +144,7 @@
                     ? json({{"Key", change.item.key}, {"Rev", change.item.revision}, {"Deleted", true}})
                     : encode_item(change.item));
         }
-        co_return make_response(200, {{"events", std::move(events)}, {"At", changes->revision}});
+        co_return make_json_response(200, {{"events", std::move(events)}, {"At", changes->revision}});
     }
 
     awaitable<http_response> transact(http_request request) const {
@@ -161,13 +154,13 @@
             co_return make_failure(result.status());
         }
         if (result->is_applied) {
-            co_return make_response(200, {{"Rev", result->revision}});
+            co_return make_json_response(200, {{"Rev", result->revision}});
         }
         json items = json::array();
         for (const auto& item : result->present) {
             items.push_back(encode_item(item));
         }
-        co_return make_response(condition_failed_status, {{"items", std::move(items)}});
+        co_return make_json_response(condition_failed_status, {{"items", std::move(items)}});
     }
 
     awaitable<http_response> handle_lease(http_request request) const {
@@ -177,7 +170,7 @@
             const auto time_to_live_ms = json::parse(request.body).at("TtlMs").get<std::int64_t>();
             const auto lease = co_await store_->grant_lease(time_to_live_ms, get_call_deadline());
             co_return lease.ok()
-                ? make_response(200, {{"Lease", lease->id}, {"TtlMs", lease->time_to_live_ms}})
+                ? make_json_response(200, {{"Lease", lease->id}, {"TtlMs", lease->time_to_live_ms}})
                 : make_failure(lease.status());
         }
         if (path.starts_with(renew_path)) {
@@ -187,7 +180,7 @@
         } else {
             status = make_error(error_kind::not_found, "there is no such call");
         }
-        co_return status.ok() ? make_response(200, json::object()) : make_failure(status);
+        co_return status.ok() ? make_json_response(200, json::object()) : make_failure(status);
     }
 
     std::shared_ptr<memory_cell_store> store_;
--- a/standin/platform_upstreams.cpp
+++ b/standin/platform_upstreams.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include "connection/async_signal.hpp"
+#include "connection/json_response.hpp"
 #include "process/ordered_mutex.hpp"
 
 namespace jacinthvane::standin {
@@ -27,14 +28,6 @@
 constexpr std::int64_t reported_tail_ms = 20;
 constexpr std::int64_t reported_processors_milli = 1500;
 
-http_response make_response(int status, const json& body) {
-    http_response response;
-    response.status = status;
-    response.headers["Content-Type"] = "application/json";
-    response.body = body.dump();
-    return response;
-}
-
 }  // namespace
 
 class platform_upstreams::simulated_upstream {
@@ -46,7 +39,7 @@
         end_finished_runs();
         const auto token = body.value("Fence", std::uint64_t{0});
         if (token < token_) {
-            co_return make_response(conflict_status, {{"ClockMs", read_clock()}, {"Reason", "fence"}});
+            co_return make_json_response(conflict_status, {{"ClockMs", read_clock()}, {"Reason", "fence"}});
         }
         token_ = token;
         const auto until = body.value("UntilMs", std::int64_t{0});
@@ -54,14 +47,15 @@
         const auto path = request.get_path();
         if (path == "/-/run-start") {
             if (const char* reason = start(body); reason != nullptr) {
-                co_return make_response(conflict_status, {{"ClockMs", read_clock()}, {"Reason", reason}});
+                co_return make_json_response(conflict_status,
+                                             {{"ClockMs", read_clock()}, {"Reason", reason}});
             }
         } else if (path == "/-/run-stop") {
             stop(body);
         } else if (path == "/-/hold") {
             co_return co_await list(body);
         }
-        co_return make_response(200, {{"ClockMs", read_clock()}});
+        co_return make_json_response(200, {{"ClockMs", read_clock()}});
     }
 
     std::uint64_t get_start_count() const { return starts_; }
@@ -197,7 +191,8 @@
             running.push_back(json::array({task, run.number, "", is_serving ? 100 : 50,
                                            is_serving ? reported_tail_ms : reported_processors_milli}));
         }
-        co_return make_response(200, {{"ClockMs", read_clock()}, {"Running", running}, {"Ended", ended_}});
+        co_return make_json_response(200,
+                                     {{"ClockMs", read_clock()}, {"Running", running}, {"Ended", ended_}});
     }
 
     const std::string name_;
