--- a/standin/link_relay.cpp
+++ b/standin/link_relay.cpp
@@ -57,9 +57,10 @@
 }
 
 struct link_relay::shared_state {
-    shared_state(asio::io_context& io, std::string to)
+    shared_state(asio::io_context& io, std::string to, std::shared_ptr<relayed_link> over)
         : context(io),
           target(std::move(to)),
+          link(std::move(over)),
           acceptor(asio::make_strand(io)),
           datagram_socket(asio::make_strand(io)) {}
 
@@ -70,6 +71,7 @@
 
     asio::io_context& context;
     std::string target;
+    const std::shared_ptr<relayed_link> link;
     asio::ip::tcp::acceptor acceptor;
     asio::ip::udp::socket datagram_socket;
     mutable ordered_mutex mutex{lock_rank::standin};
@@ -80,8 +82,6 @@
     std::atomic<std::uint64_t> dropped_bytes = 0;
     std::atomic<std::uint64_t> refused_connections = 0;
     async_signal faults_changed;
-    relayed_direction forward;
-    relayed_direction backward;
 };
 
 namespace {
@@ -169,7 +169,10 @@
 }  // namespace
 
 link_relay::link_relay(asio::io_context& context, std::string target)
-    : state_(std::make_shared<shared_state>(context, std::move(target))) {}
+    : link_relay(context, std::move(target), std::make_shared<relayed_link>()) {}
+
+link_relay::link_relay(asio::io_context& context, std::string target, std::shared_ptr<relayed_link> link)
+    : state_(std::make_shared<shared_state>(context, std::move(target), std::move(link))) {}
 
 absl::Status link_relay::listen_tcp(const std::string& address) {
     const auto endpoint = parse_endpoint<asio::ip::tcp>(address);
@@ -246,8 +249,8 @@
         co_return make_text(200, "{\"changed\": true}");
     }
     if (request.method == "GET" && request.get_path() == "/admin/ledger") {
-        const nlohmann::json ledger = {{"forward_bytes", state_->forward.get_bytes()},
-                                       {"backward_bytes", state_->backward.get_bytes()},
+        const nlohmann::json ledger = {{"forward_bytes", state_->link->forward.get_bytes()},
+                                       {"backward_bytes", state_->link->backward.get_bytes()},
                                        {"dropped_bytes", state_->dropped_bytes.load()},
                                        {"connections", state_->next_connection.load()},
                                        {"refused_connections", state_->refused_connections.load()}};
@@ -329,7 +332,7 @@
             continue;
         }
         next.bytes.resize(size);
-        auto& direction = is_forward ? state->forward : state->backward;
+        auto& direction = is_forward ? state->link->forward : state->link->backward;
         next.due =
             direction.schedule(static_cast<std::int64_t>(size), faults, std::chrono::steady_clock::now());
         queue->push(std::move(next));
@@ -366,8 +369,8 @@
             continue;
         }
         buffer->resize(size);
-        const auto due = state->forward.schedule(static_cast<std::int64_t>(size), faults,
-                                                 std::chrono::steady_clock::now());
+        const auto due = state->link->forward.schedule(static_cast<std::int64_t>(size), faults,
+                                                       std::chrono::steady_clock::now());
         asio::co_spawn(state->datagram_socket.get_executor(), send_datagram(state, buffer, *endpoint, due),
                        asio::detached);
     }
--- a/standin/link_relay.hpp
+++ b/standin/link_relay.hpp
@@ -42,10 +42,18 @@
     std::atomic<std::uint64_t> bytes_ = 0;
 };
 
+// Both directions of a link that several relays share.
+struct relayed_link {
+    relayed_direction forward;
+    relayed_direction backward;
+};
+
 // Relays TCP connections and datagrams to a target address, with faults that can be changed at run time.
 class link_relay {
 public:
     link_relay(asio::io_context& context, std::string target);
+    // The byte rate of the faults then holds for all relays of the link together.
+    link_relay(asio::io_context& context, std::string target, std::shared_ptr<relayed_link> link);
 
     absl::Status listen_tcp(const std::string& address);
     absl::Status listen_udp(const std::string& address);
