Renew leases on new connections, repeat orders more rarely, and count repeats against the bound on starts

Now a new connection only rules out acknowledgements, repeats double their pause up to 2 s and take part in the bound, and a missing response that says nothing about the upstream does not count towards the stop. Ruled out: a renewal that reaches another incarnation under the same id. Three tests of cell_scheduler_test hold this; they use the new interface, or failed before by reading the code only: no run of them on the code before exists.

--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -46,7 +46,10 @@
     bool is_order_sent = false;
     // A start order got no response, so it may still take effect later.
     bool has_unknown_start = false;
+    // Start orders whose missing responses say something about the upstream.
     std::uint32_t failed_orders = 0;
+    // Orders of the current phase that were sent again.
+    std::uint32_t repeated_orders = 0;
     time_point next_order;
     time_point started_at;
     // Clock of the upstream when the run was last known to exist; 0 if it never was.
--- a/src/process/upstream_order.cpp
+++ b/src/process/upstream_order.cpp
@@ -2,6 +2,14 @@
 
 namespace jacinthvane {
 
+namespace {
+
+// Request line, headers, names of fields, and the acknowledgements and headers of the transport.
+constexpr std::size_t order_overhead_bytes = 450;
+constexpr std::size_t poll_overhead_bytes = 400;
+
+}  // namespace
+
 std::string_view get_name(order_result result) {
     switch (result) {
         case order_result::accepted:
@@ -32,4 +40,17 @@
     return "invalid";
 }
 
+bool is_answer(order_result result) {
+    return result != order_result::not_sent && result != order_result::unknown &&
+           result != order_result::delayed;
+}
+
+std::size_t estimate_bytes(const start_order& order) {
+    return order_overhead_bytes + order.payload.size() + order.checkpoint.size() + order.ticket.size();
+}
+
+std::size_t estimate_bytes(const poll_order&) {
+    return poll_overhead_bytes;
+}
+
 }  // namespace jacinthvane
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <variant>
@@ -43,6 +44,9 @@
 
 using upstream_order = std::variant<start_order, stop_order, cpu_limit_order>;
 
+// Estimates the bytes that an order takes on the link, with headers.
+std::size_t estimate_bytes(const start_order& order);
+
 // The result of an order to an upstream.
 enum class order_result {
     accepted,
@@ -70,10 +74,16 @@
 
 std::string_view get_name(order_result result);
 
+// Whether the upstream responded, whatever its response.
+bool is_answer(order_result result);
+
 struct order_response {
     order_result result = order_result::unknown;
     // Clock of the upstream at its response; 0 if the response does not contain it.
     std::int64_t clock_ms = 0;
+    // Whether a missing response says something about the upstream. It does not while this process or its
+    // link is slow.
+    bool is_conclusive = true;
 
     bool operator==(const order_response&) const = default;
 };
@@ -90,4 +100,7 @@
     bool operator==(const poll_order&) const = default;
 };
 
+// Estimates the bytes that a poll takes on the link, with headers.
+std::size_t estimate_bytes(const poll_order& order);
+
 }  // namespace jacinthvane
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -11,10 +11,17 @@
 namespace {
 
 constexpr std::chrono::milliseconds order_repeat_delay{250};
+constexpr std::chrono::milliseconds max_order_repeat_delay{2000};
 // A run whose start order gets no response this many times is stopped, so that a delayed start order is
 // refused.
 constexpr std::uint32_t max_unknown_starts = 3;
 
+// Repeats become rarer, so that they do not fill a link whose queue keeps the responses.
+std::chrono::milliseconds get_repeat_delay(std::uint32_t repeats) {
+    constexpr std::uint32_t max_doublings = 3;
+    return std::min(order_repeat_delay * (1U << std::min(repeats, max_doublings)), max_order_repeat_delay);
+}
+
 }  // namespace
 
 void cell_scheduler::apply_order_response(const upstream_order& order, const order_response& response,
@@ -57,6 +64,7 @@
     run.phase = run_phase::stopping;
     run.is_order_sent = false;
     run.failed_orders = 0;
+    run.repeated_orders = 0;
     run.next_order = now;
 }
 
@@ -84,8 +92,8 @@
             return;
         case order_result::unknown:
             run->has_unknown_start = true;
-            ++run->failed_orders;
-            run->next_order = now + order_repeat_delay;
+            run->failed_orders += response.is_conclusive ? 1 : 0;
+            run->next_order = now + get_repeat_delay(run->repeated_orders++);
             if (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive) {
                 begin_stop(*run, now);
             }
@@ -134,7 +142,7 @@
         run->next_order = now + limits_.stop_timeout + std::chrono::seconds(2);
         return;
     }
-    run->next_order = now + order_repeat_delay;
+    run->next_order = now + get_repeat_delay(run->repeated_orders++);
 }
 
 }  // namespace jacinthvane
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -82,6 +82,7 @@
         }
     }
     decisions.orders.swap(queued_orders_);
+    starts_left_ = max_starts;
     for (auto& [id, upstream] : upstreams_) {
         repeat_orders(upstream, now, may_start, decisions.orders);
     }
@@ -93,7 +94,6 @@
     best_effort_views_.clear();
     collect_usable_upstreams(now);
     const bool is_resolved = is_takeover_resolved(now);
-    starts_left_ = max_starts;
     for (auto* job : sort_waiting_jobs(now)) {
         if (starts_left_ == 0) {
             break;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -136,12 +136,14 @@
         return poll;
     }
     auto& upstream = found->second;
-    // On a new connection another incarnation may respond, which would apply acknowledged_end to its own
-    // ends. After a failed poll no lease is renewed: a renewal that does not arrive would only delay
+    // After a failed poll no lease is renewed: a renewal that does not arrive would only delay
     // leases_expire_at.
-    const bool is_continued = is_same_connection && upstream.has_responded && !upstream.is_unresponsive;
-    poll.acknowledged_end = is_continued ? upstream.durable_end : 0;
-    if (is_continued) {
+    const bool is_responsive = upstream.has_responded && !upstream.is_unresponsive;
+    // On a new connection another incarnation may respond, which would apply acknowledged_end to its own
+    // ends. A renewal of the lease does no harm there, and without it an owner that has to reconnect often
+    // would let the leases of sound upstreams end.
+    poll.acknowledged_end = is_responsive && is_same_connection ? upstream.durable_end : 0;
+    if (is_responsive) {
         poll.lease_until_clock_ms = may_renew ? grant_lease(upstream, now) : 0;
         const bool is_stopping =
             std::any_of(upstream.runs.begin(), upstream.runs.end(),
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -56,7 +56,8 @@
         if (run.phase == run_phase::stopping) {
             run.is_order_sent = true;
             orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second});
-        } else if (run.phase == run_phase::starting && may_start && !upstream.is_unresponsive) {
+        } else if (run.phase == run_phase::starting && may_start && !upstream.is_unresponsive &&
+                   starts_left_ > 0) {
             auto* job = find_job(key.first.job);
             const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
             if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
@@ -64,6 +65,7 @@
                 continue;
             }
             run.is_order_sent = true;
+            --starts_left_;
             const auto tickets = tickets_.find(key.first.get_step());
             std::string ticket;
             if (tickets != tickets_.end() && tickets->second.tickets.contains(upstream.entry.id)) {
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -94,6 +94,50 @@
     BOOST_TEST((cell.scheduler->find_upstream(id)->leases_expire_at == leases_expire_at));
 }
 
+// Guards against leases of sound upstreams that end because polls that this process delayed have closed their
+// connections: each poll was then the first one on a new connection, and carried no renewal.
+BOOST_AUTO_TEST_CASE(renews_leases_on_a_new_connection) {
+    cell_fixture cell(1);
+    cell.run_for(seconds(1));
+    const auto poll = cell.scheduler->make_poll(cell.entries[0].id, cell.clock->get_now(), false, true);
+    BOOST_TEST(poll.lease_until_clock_ms > 0);
+    BOOST_TEST(poll.acknowledged_end == 0U);
+}
+
+// Guards against a run that is stopped, although its upstream accepted it, because a slow link of this
+// process kept the responses.
+BOOST_AUTO_TEST_CASE(keeps_a_run_whose_responses_this_process_did_not_get) {
+    cell_fixture cell(1);
+    cell.run_for(milliseconds(100));
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}));
+    std::size_t starts = 0;
+    for (int i = 0; i < 400; ++i) {
+        for (const auto& order : cell.scheduler->decide(cell.read_clock(), true).orders) {
+            BOOST_TEST(std::holds_alternative<start_order>(order));
+            ++starts;
+            order_response response;
+            response.is_conclusive = false;
+            cell.scheduler->apply_order_response(order, response, cell.read_clock());
+        }
+        cell.clock->advance(milliseconds(20));
+    }
+    BOOST_TEST(starts > 3U);
+    // Repeats become rarer: eight seconds would hold 32 of them at the first interval.
+    BOOST_TEST(starts <= 10U);
+}
+
+// Guards against repeated start orders that go out beside the bound on start orders and fill a full link.
+BOOST_AUTO_TEST_CASE(repeats_no_more_starts_than_orders_can_be_sent) {
+    cell_fixture cell(4);
+    cell.run_for(milliseconds(100));
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(30)}));
+    for (const auto& order : cell.scheduler->decide(cell.read_clock(), true).orders) {
+        cell.scheduler->apply_order_response(order, order_response(), cell.read_clock());
+    }
+    cell.clock->advance(milliseconds(300));
+    BOOST_TEST(cell.scheduler->decide(cell.read_clock(), true, 5).orders.size() == 5U);
+}
+
 // A task on an unresponsive upstream may still run there, so it starts elsewhere only after its lease has
 // expired.
 BOOST_AUTO_TEST_CASE(waits_for_the_lease_of_an_unresponsive_upstream) {
