Bound what an owner has on its link, and take no own delay for the silence of an upstream

Change: link_pacer bounds the bytes of start orders in flight and the rate of polls by the rate of the link from the settings, and reduces both while responses are slow. response_times knows how long the recent calls took: timeouts are at least four times their median, and a missing response says something about its server only while most others arrive in time. Ruled out: the processor. Timers were at most 20 ms late, and without processor time the same rules broke. What is left are jobs that were accepted although the owner cannot start them in time.

--- /dev/null
+++ b/src/process/link_pacer.cpp
@@ -0,0 +1,80 @@
+#include "process/link_pacer.hpp"
+
+#include <algorithm>
+
+namespace jacinthvane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::int64_t bytes_per_megabit = 1'000'000 / 8;
+// Share of the link for polls. The rest is for orders, the store, callers and other processes.
+constexpr double poll_share = 0.45;
+// Start orders in flight may take the link for this long.
+constexpr milliseconds max_start_queue{120};
+// Before any was sent.
+constexpr double assumed_start_bytes = 1000;
+// Start orders that may be in flight on any link, so that a slow one still starts tasks.
+constexpr std::size_t min_starts = 4;
+constexpr double average_rate = 0.02;
+// Longer pauses would let leases end between two polls if one of them is lost.
+constexpr milliseconds max_poll_pause{1800};
+
+// Slower responses show a queue that more calls would only lengthen.
+constexpr milliseconds long_response_time{250};
+constexpr double max_slowdown = 4;
+
+void add_to_average(double& average, double value) {
+    average = average > 0 ? average + (value - average) * average_rate : value;
+}
+
+}  // namespace
+
+link_pacer::link_pacer(std::int64_t link_mbps)
+    : bytes_per_second_(std::max<std::int64_t>(link_mbps, 0) * bytes_per_megabit) {}
+
+void link_pacer::add_poll(std::size_t sent_bytes, std::size_t received_bytes) {
+    add_to_average(poll_bytes_, static_cast<double>(std::max(sent_bytes, received_bytes)));
+}
+
+void link_pacer::begin_start(std::size_t bytes) {
+    ++starts_in_flight_;
+    bytes_in_flight_ += bytes;
+    add_to_average(start_bytes_, static_cast<double>(bytes));
+}
+
+void link_pacer::end_start(std::size_t bytes) {
+    --starts_in_flight_;
+    bytes_in_flight_ -= bytes;
+}
+
+double link_pacer::get_slowdown() const {
+    const auto ratio =
+        static_cast<double>(response_time_.count()) / static_cast<double>(long_response_time.count());
+    return std::clamp(ratio, 1.0, max_slowdown);
+}
+
+std::size_t link_pacer::get_free_starts(std::size_t at_most) const {
+    auto fitting = static_cast<double>(at_most);
+    if (bytes_per_second_ > 0) {
+        const auto window = static_cast<double>(bytes_per_second_ * max_start_queue.count()) / 1000.0;
+        const auto size = start_bytes_ > 0 ? start_bytes_ : assumed_start_bytes;
+        fitting = std::min(fitting, window / size);
+    }
+    const auto slowed = static_cast<std::size_t>(fitting / get_slowdown());
+    const auto limit = std::clamp(slowed, std::min(min_starts, at_most), at_most);
+    return limit - std::min(limit, starts_in_flight_);
+}
+
+milliseconds link_pacer::get_poll_pause(std::size_t upstreams) const {
+    if (bytes_per_second_ == 0) {
+        return milliseconds(0);
+    }
+    const auto bytes = static_cast<double>(upstreams) * poll_bytes_;
+    const auto pause =
+        bytes / (static_cast<double>(bytes_per_second_) * poll_share) * 1000.0 * get_slowdown();
+    return std::min(milliseconds(static_cast<std::int64_t>(pause)), max_poll_pause);
+}
+
+}  // namespace jacinthvane
--- /dev/null
+++ b/src/process/link_pacer.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace jacinthvane {
+
+// Keeps the calls of an owner within what the link of its VM carries. Polls renew leases, so they come first:
+// the pause between them leaves a part of the link free. Start orders fill what remains, with a bound on the
+// bytes in flight: more of them would only lengthen the queue of the link, in which polls wait too. The rate
+// of the link comes from the settings; without one there is no bound. Not safe for concurrent use.
+class link_pacer {
+public:
+    // A rate of 0 is unknown.
+    explicit link_pacer(std::int64_t link_mbps);
+
+    // A poll was answered: bytes sent and received for it.
+    void add_poll(std::size_t sent_bytes, std::size_t received_bytes);
+    // A start order was sent, and its call ended.
+    void begin_start(std::size_t bytes);
+    void end_start(std::size_t bytes);
+    // The median time that responses took recently. While it is long, the queue of the link or of this
+    // process is, so less is put into it.
+    void set_response_time(std::chrono::milliseconds median) { response_time_ = median; }
+
+    // Returns how many further start orders may be sent now, at most the given number.
+    std::size_t get_free_starts(std::size_t at_most) const;
+    // Returns the least time from the start of a poll of an upstream to the start of its next one, if this
+    // many upstreams are polled.
+    std::chrono::milliseconds get_poll_pause(std::size_t upstreams) const;
+    std::size_t get_bytes_in_flight() const { return bytes_in_flight_; }
+
+    bool operator==(const link_pacer&) const = default;
+
+private:
+    // By how much responses are slower than they may be; 1 if they are not.
+    double get_slowdown() const;
+
+    std::int64_t bytes_per_second_ = 0;
+    std::size_t starts_in_flight_ = 0;
+    std::size_t bytes_in_flight_ = 0;
+    // Moving averages. A poll counts by its heavier direction, since the directions of a link are separate.
+    double poll_bytes_ = 0;
+    double start_bytes_ = 0;
+    std::chrono::milliseconds response_time_{0};
+};
+
+}  // namespace jacinthvane
--- a/src/process/upstream_report.hpp
+++ b/src/process/upstream_report.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -53,4 +54,7 @@
     bool operator==(const upstream_report&) const = default;
 };
 
+// Estimates the bytes that a report takes on the link, with headers.
+std::size_t estimate_bytes(const upstream_report& report);
+
 }  // namespace jacinthvane
--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -83,6 +83,9 @@
     const auto started_at = std::chrono::steady_clock::now();
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     const auto commit_time = std::chrono::steady_clock::now() - started_at;
+    if (result.ok()) {
+        record_response(started_at);
+    }
     if (result.ok() && result->is_applied) {
         commit_revision_ = result->revision;
         metrics_.count(decision::journal_batch);
@@ -155,10 +158,12 @@
             }
         }
         const auto sent_at = get_suspend_aware_now();
+        const auto started_at = std::chrono::steady_clock::now();
         const auto row = co_await ports_.store.get(cell_key, get_store_deadline());
         if (!row.ok()) {
             continue;
         }
+        record_response(started_at);
         if (row->revision != claim_.row_revision) {
             end("another process took the cell: its row has revision " + std::to_string(row->revision));
             co_return;
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -346,7 +346,8 @@
     LOG(INFO) << "event=cell_taken token=" << row.token << " revision=" << revision << " lease=" << lease->id;
     metrics_.count(decision::takeover);
     const cell_claim claim{row, revision, std::chrono::steady_clock::now()};
-    const auto owner = std::make_shared<cell_owner>(context_, ports_, settings_.limits, claim, metrics_);
+    const auto owner = std::make_shared<cell_owner>(
+        context_, ports_, owner_limits{settings_.limits, settings_.link_mbps}, claim, metrics_);
     {
         std::lock_guard lock(mutex_);
         owner_ = owner;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -18,7 +18,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds order_timeout{600};
+constexpr milliseconds min_order_timeout{600};
 // Minimum pause between decisions, so that changes that arrive together are decided together. Longer
 // decisions are followed by longer pauses: pause_to_work_ratio times the duration of the decision, up to the
 // maximum.
@@ -33,14 +33,15 @@
 
 }  // namespace
 
-cell_owner::cell_owner(asio::io_context& context, cell_ports ports, cell_limits limits, cell_claim claim,
+cell_owner::cell_owner(asio::io_context& context, cell_ports ports, owner_limits limits, cell_claim claim,
                        metrics& counters)
     : context_(context),
       ports_(std::move(ports)),
-      limits_(limits),
+      limits_(limits.cell),
       claim_(std::move(claim)),
       metrics_(counters),
-      scheduler_(limits, claim_.row.token, claim_.claimed_at),
+      scheduler_(limits.cell, claim_.row.token, claim_.claimed_at),
+      link_(limits.link_mbps),
       proven_at_(get_suspend_aware_now()) {}
 
 clock_reading cell_owner::read_clock() {
@@ -353,16 +354,17 @@
         std::vector<std::string> addresses;
         {
             std::lock_guard lock(mutex_);
-            const auto in_flight = std::min(starts_in_flight_, max_starts_in_flight);
             decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_,
-                                          max_starts_in_flight - in_flight);
+                                          link_.get_free_starts(max_starts_in_flight));
             for (const auto& order : decisions.orders) {
                 const auto& id =
                     std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
                 const auto* upstream = scheduler_.find_upstream(id);
                 addresses.push_back(upstream == nullptr ? std::string() : upstream->entry.address);
                 load_.begin_order();
-                starts_in_flight_ += std::holds_alternative<start_order>(order) ? 1 : 0;
+                if (const auto* start = std::get_if<start_order>(&order)) {
+                    link_.begin_start(estimate_bytes(*start));
+                }
             }
             load_.add_decision(std::chrono::steady_clock::now() - started_at);
         }
@@ -382,16 +384,45 @@
 
 bool cell_owner::is_start_pending(const start_order& order) const {
     std::lock_guard lock(mutex_);
-    return scheduler_.is_start_pending(order);
+    return scheduler_.is_start_pending(order) && is_ownership_proven();
+}
+
+void cell_owner::record_response(time_point expected_at) {
+    const auto now = std::chrono::steady_clock::now();
+    std::lock_guard lock(mutex_);
+    responses_.add(now, std::chrono::duration_cast<milliseconds>(now - expected_at));
+}
+
+bool cell_owner::is_silence_conclusive(time_point expected_at, time_point deadline) const {
+    const auto now = std::chrono::steady_clock::now();
+    if (now < deadline) {
+        return true;
+    }
+    const auto waited = std::chrono::duration_cast<milliseconds>(deadline - expected_at);
+    std::lock_guard lock(mutex_);
+    return responses_.is_silence_conclusive(expected_at, waited, now);
+}
+
+milliseconds cell_owner::get_call_timeout(milliseconds at_least) const {
+    std::lock_guard lock(mutex_);
+    return responses_.get_timeout(at_least, std::chrono::steady_clock::now());
 }
 
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
     const auto started_at = std::chrono::steady_clock::now();
-    const auto deadline = started_at + order_timeout;
+    const auto deadline = started_at + get_call_timeout(min_order_timeout);
     const auto* start = std::get_if<start_order>(&order);
     order_response response{order_result::delayed, 0};
     if (start == nullptr || is_start_pending(*start)) {
         response = co_await ports_.upstreams.send(address, order, claim_.row.token, deadline);
+        if (is_answer(response.result)) {
+            record_response(started_at);
+        } else if (!is_silence_conclusive(started_at, deadline)) {
+            response.is_conclusive = false;
+            // Nothing was sent, and the upstream need not be avoided.
+            response.result =
+                response.result == order_result::not_sent ? order_result::delayed : response.result;
+        }
     }
     if (start != nullptr || response.result != order_result::accepted) {
         const auto describe = [](const auto& o) { return o.task.to_string() + "/" + std::to_string(o.run); };
@@ -402,7 +433,9 @@
     }
     {
         std::lock_guard lock(mutex_);
-        starts_in_flight_ -= start != nullptr ? 1 : 0;
+        if (start != nullptr) {
+            link_.end_start(estimate_bytes(*start));
+        }
         load_.end_order(
             std::chrono::steady_clock::now() - started_at,
             response.result != order_result::not_sent && response.result != order_result::delayed);
@@ -444,7 +477,11 @@
         std::string load;
         {
             std::lock_guard lock(mutex_);
-            load = load_.take_fields() + " poll_pause_ms=" + std::to_string(pacer_.get_pause().count());
+            const auto now = std::chrono::steady_clock::now();
+            const auto median = responses_.get_median(now - interval, now);
+            load = load_.take_fields() + " poll_pause_ms=" + std::to_string(get_poll_pause().count()) +
+                   " start_bytes_in_flight=" + std::to_string(link_.get_bytes_in_flight()) +
+                   " response_median_ms=" + (median ? std::to_string(median->count()) : "none");
             cell = scheduler_.get_summary(std::chrono::steady_clock::now());
         }
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
@@ -461,6 +498,7 @@
 
 awaitable<void> cell_owner::measure_timers() {
     constexpr milliseconds interval{50};
+    constexpr milliseconds response_window{500};
     while (!is_over()) {
         const auto due = std::chrono::steady_clock::now() + interval;
         co_await wait_until(due);
@@ -468,6 +506,7 @@
         std::lock_guard lock(mutex_);
         load_.add_timer(due, now);
         pacer_.add_timer(due, now);
+        link_.set_response_time(responses_.get_median(now - response_window, now).value_or(milliseconds(0)));
     }
 }
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -15,9 +15,11 @@
 #include "connection/registry_port.hpp"
 #include "connection/upstream_port.hpp"
 #include "process/cell_limits.hpp"
+#include "process/link_pacer.hpp"
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
 #include "process/owner_load.hpp"
+#include "process/response_times.hpp"
 #include "process/work_pacer.hpp"
 #include "version/cell_scheduler.hpp"
 
@@ -30,6 +32,15 @@
     upstream_port upstreams;
 };
 
+// What the platform and the VM allow an owner.
+struct owner_limits {
+    cell_limits cell;
+    // Rate of the link of this VM; 0 if it is unknown.
+    std::int64_t link_mbps = 0;
+
+    bool operator==(const owner_limits&) const = default;
+};
+
 // Evidence of ownership: the row that was written to the store and its revision.
 struct cell_claim {
     cell_row row;
@@ -44,7 +55,7 @@
 // called. Thread-safe.
 class cell_owner : public std::enable_shared_from_this<cell_owner> {
 public:
-    cell_owner(asio::io_context& context, cell_ports ports, cell_limits limits, cell_claim claim,
+    cell_owner(asio::io_context& context, cell_ports ports, owner_limits limits, cell_claim claim,
                metrics& counters);
 
     // Loads the state of the cell in the background and then begins to schedule.
@@ -80,8 +91,19 @@
     // upstream need not be polled any more.
     awaitable<bool> wait_for_durable_ends(upstream_id id);
     awaitable<void> poll_upstream(upstream_id id);
+    // Returns the least time from the start of a poll to the start of the next one of the same upstream.
+    // Called with the mutex held.
+    std::chrono::milliseconds get_poll_pause() const;
     awaitable<void> dispatch();
     bool is_start_pending(const start_order& order) const;
+    // Records how long a server took to respond, in addition to the time that it was asked to wait.
+    void record_response(time_point expected_at);
+    // Whether the missing response of a call says something about its server. The call was given up at its
+    // deadline, or earlier because of an error of the network; a response without a wait of the server was
+    // expected at the given time.
+    bool is_silence_conclusive(time_point expected_at, time_point deadline) const;
+    // Returns how long to wait for the response to a call, at least the given time.
+    std::chrono::milliseconds get_call_timeout(std::chrono::milliseconds at_least) const;
     awaitable<void> send_order(upstream_order order, std::string address);
     awaitable<void> fetch_advice(advice_request request);
     awaitable<void> write_progress();
@@ -128,7 +150,8 @@
     // Guarded by mutex_.
     cell_scheduler scheduler_;
     owner_load load_;
-    std::size_t starts_in_flight_ = 0;
+    link_pacer link_;
+    response_times responses_;
     // The last read of changed jobs failed. Only the first of several failures in a row is logged.
     bool is_job_watch_failing_ = false;
     work_pacer pacer_;
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -187,8 +187,12 @@
     }
 }
 
+milliseconds cell_owner::get_poll_pause() const {
+    return std::max(pacer_.get_pause(), link_.get_poll_pause(polled_upstreams_.size()));
+}
+
 awaitable<void> cell_owner::poll_upstream(upstream_id id) {
-    constexpr milliseconds margin{500};
+    constexpr milliseconds min_margin{500};
     milliseconds failure_delay{50};
     constexpr milliseconds max_failure_delay{400};
     auto last_poll = time_point();
@@ -196,7 +200,7 @@
         time_point next_poll;
         {
             std::lock_guard lock(mutex_);
-            next_poll = last_poll + pacer_.get_pause();
+            next_poll = last_poll + get_poll_pause();
         }
         if (next_poll > std::chrono::steady_clock::now()) {
             co_await wait_until(next_poll);
@@ -214,9 +218,17 @@
         }
         const auto started_at = std::chrono::steady_clock::now();
         last_poll = started_at;
-        const auto deadline = started_at + milliseconds(order.wait_ms) + margin;
+        const auto expected_at = started_at + milliseconds(order.wait_ms);
+        const auto deadline = expected_at + get_call_timeout(min_margin);
         const auto response = co_await ports_.upstreams.poll(address, order, claim_.row.token, deadline);
         const auto clock = read_clock();
+        // A response before the upstream had to respond does not show how long it took.
+        if (is_answer(response.result) && clock.now >= expected_at) {
+            record_response(expected_at);
+        }
+        const bool is_conclusive =
+            is_answer(response.result) ||
+            (response.result != order_result::delayed && is_silence_conclusive(expected_at, deadline));
         bool is_ok = false;
         {
             std::lock_guard lock(mutex_);
@@ -225,16 +237,16 @@
             is_ok = response.result == order_result::accepted;
             load_.add_poll(clock.now - started_at);
             if (is_ok) {
+                link_.add_poll(estimate_bytes(order), estimate_bytes(response.report));
                 scheduler_.apply_report(id, response.report, clock);
             } else if (response.result == order_result::refused_other_incarnation) {
                 scheduler_.end_incarnation(id, clock.now);
-            } else if (response.result == order_result::delayed) {
+            } else if (!is_conclusive) {
                 load_.add_late_poll();
             } else {
                 scheduler_.mark_unresponsive(id, started_at);
                 load_.add_silent_poll();
             }
-            const bool is_conclusive = response.result != order_result::delayed;
             if (upstream != nullptr && is_conclusive && was_unresponsive == is_ok) {
                 LOG(INFO) << "event=" << (is_ok ? "upstream_answers" : "upstream_silent")
                           << " upstream=" << id.get() << " result=" << get_name(response.result);
