Refuse new jobs at once while the link of the owner cannot start their tasks in time

Change: start_backlog computes from the accepted starts how long the last waiting task will wait, while the link is what holds starts back. The owner writes a notice next to its owner record, under its lease; all processes get it with the watch that they have. They refuse jobs that the store does not have with 503 and the expected wait as Retry-After, spread over the callers; a job that was accepted before still gets 200, and one that cannot be looked up 504. Metric jacinthvane_owner_overloaded, events cell_overloaded, cell_carried, overload_published, job_refused. A VM with a slow link also waits longer before it takes a cell.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -96,6 +96,11 @@
     archive(row.token, row.owner, row.address);
 }
 
+template <class Archive>
+void serialize(Archive& archive, overload_notice& notice) {
+    archive(notice.token, notice.retry_after_ms);
+}
+
 template <class Archive>
 void serialize(Archive& archive, upstream_entry& entry) {
     archive(entry.id, entry.service, entry.address, entry.failure_domain);
@@ -133,6 +138,9 @@
 std::string encode_record(const cell_row& row) {
     return encode_with_format(row);
 }
+std::string encode_record(const overload_notice& notice) {
+    return encode_with_format(notice);
+}
 std::string encode_record(const known_upstreams& upstreams) {
     return encode_with_format(upstreams);
 }
@@ -164,6 +172,10 @@
     return decode_with_format<cell_row>(bytes, "cell row");
 }
 
+absl::StatusOr<overload_notice> decode_overload_notice(std::string_view bytes) {
+    return decode_with_format<overload_notice>(bytes, "notice of overload");
+}
+
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes) {
     return decode_with_format<known_upstreams>(bytes, "list of known upstreams");
 }
@@ -204,6 +216,9 @@
 std::string make_owner_key() {
     return std::string(owner_prefix) + std::string(cell_name);
 }
+std::string make_overload_key() {
+    return make_owner_key() + "/overload";
+}
 std::string make_commit_key() {
     return "jv/commit/" + std::string(cell_name);
 }
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -25,6 +25,15 @@
     bool operator==(const cell_row&) const = default;
 };
 
+// What an owner that cannot start further jobs in time tells the other processes.
+struct overload_notice {
+    std::uint64_t token = 0;
+    // After which time a refused caller should come back.
+    std::int64_t retry_after_ms = 0;
+
+    bool operator==(const overload_notice&) const = default;
+};
+
 // Upstreams on which an owner may have started tasks.
 struct known_upstreams {
     std::vector<upstream_entry> entries;
@@ -38,6 +47,7 @@
 std::string encode_record(const accepted_job& job);
 std::string encode_record(const job_progress& progress);
 std::string encode_record(const cell_row& row);
+std::string encode_record(const overload_notice& notice);
 std::string encode_record(const known_upstreams& upstreams);
 std::string encode_record(const tail_snapshot& snapshot);
 std::string encode_record(const live_peer& peer);
@@ -45,6 +55,7 @@
 absl::StatusOr<accepted_job> decode_accepted_job(std::string_view bytes);
 absl::StatusOr<job_progress> decode_job_progress(std::string_view bytes);
 absl::StatusOr<cell_row> decode_cell_row(std::string_view bytes);
+absl::StatusOr<overload_notice> decode_overload_notice(std::string_view bytes);
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes);
 absl::StatusOr<live_peer> decode_live_peer(std::string_view bytes);
@@ -61,6 +72,9 @@
 std::string make_takeover_key();
 std::string make_cell_key();
 std::string make_owner_key();
+// Written by an overloaded owner under the lease of its owner record, and removed by it. The key has the
+// prefix of the owner record, so that every process receives it with the watch that it has anyway.
+std::string make_overload_key();
 std::string make_commit_key();
 std::string make_upstreams_key();
 std::string make_tails_key();
--- a/src/process/error_kind.cpp
+++ b/src/process/error_kind.cpp
@@ -1,5 +1,6 @@
 #include "process/error_kind.hpp"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string>
@@ -12,6 +13,7 @@
 
 constexpr std::string_view kind_payload_url = "jacinthvane/error_kind";
 constexpr std::string_view run_payload_url = "jacinthvane/run_knowledge";
+constexpr std::string_view retry_payload_url = "jacinthvane/retry_after_ms";
 
 constexpr auto not_run = run_knowledge::not_run;
 constexpr auto may_have_run = run_knowledge::may_have_run;
@@ -145,6 +147,19 @@
     return status;
 }
 
+absl::Status make_refusal(error_kind kind, std::string_view message, std::int64_t retry_after_ms) {
+    constexpr std::int64_t max_retry_after_ms = 3'600'000;
+    auto status = make_error(kind, message, run_knowledge::not_run);
+    const auto bounded = std::clamp<std::int64_t>(retry_after_ms, 0, max_retry_after_ms);
+    write_payload(status, retry_payload_url, static_cast<int>(bounded));
+    return status;
+}
+
+std::int64_t get_retry_after_ms(const absl::Status& status) {
+    const auto own = read_payload(status, retry_payload_url);
+    return own ? *own : get_error_mapping(get_error_kind(status)).retry_after_ms;
+}
+
 error_kind get_error_kind(const absl::Status& status) {
     const auto kind = read_payload(status, kind_payload_url);
     return kind ? static_cast<error_kind>(*kind) : error_kind::internal;
--- a/src/process/error_kind.hpp
+++ b/src/process/error_kind.hpp
@@ -67,6 +67,12 @@
 absl::Status make_error(error_kind kind, std::string_view message);
 absl::Status make_error(error_kind kind, std::string_view message, run_knowledge run);
 
+// Makes the error of a refusal after which the caller should come back after the given time.
+absl::Status make_refusal(error_kind kind, std::string_view message, std::int64_t retry_after_ms);
+
+// Returns the time of make_refusal, or that of the kind of the error.
+std::int64_t get_retry_after_ms(const absl::Status& status);
+
 // Returns the kind of a status made by make_error; any other status counts as internal.
 error_kind get_error_kind(const absl::Status& status);
 
--- a/src/process/link_pacer.cpp
+++ b/src/process/link_pacer.cpp
@@ -55,13 +55,17 @@
     return std::clamp(ratio, 1.0, max_slowdown);
 }
 
+double link_pacer::count_fitting_starts() const {
+    const auto window = static_cast<double>(bytes_per_second_ * max_start_queue.count()) / 1000.0;
+    return window / (start_bytes_ > 0 ? start_bytes_ : assumed_start_bytes);
+}
+
+bool link_pacer::is_link_narrow(std::size_t at_most) const {
+    return bytes_per_second_ > 0 && count_fitting_starts() < static_cast<double>(at_most);
+}
+
 std::size_t link_pacer::get_free_starts(std::size_t at_most) const {
-    auto fitting = static_cast<double>(at_most);
-    if (bytes_per_second_ > 0) {
-        const auto window = static_cast<double>(bytes_per_second_ * max_start_queue.count()) / 1000.0;
-        const auto size = start_bytes_ > 0 ? start_bytes_ : assumed_start_bytes;
-        fitting = std::min(fitting, window / size);
-    }
+    const auto fitting = is_link_narrow(at_most) ? count_fitting_starts() : static_cast<double>(at_most);
     const auto slowed = static_cast<std::size_t>(fitting / get_slowdown());
     const auto limit = std::clamp(slowed, std::min(min_starts, at_most), at_most);
     return limit - std::min(limit, starts_in_flight_);
--- a/src/process/link_pacer.hpp
+++ b/src/process/link_pacer.hpp
@@ -26,6 +26,8 @@
 
     // Returns how many further start orders may be sent now, at most the given number.
     std::size_t get_free_starts(std::size_t at_most) const;
+    // Whether the rate of the link, and not the given number, bounds the start orders in flight.
+    bool is_link_narrow(std::size_t at_most) const;
     // Returns the least time from the start of a poll of an upstream to the start of its next one, if this
     // many upstreams are polled.
     std::chrono::milliseconds get_poll_pause(std::size_t upstreams) const;
@@ -36,6 +38,8 @@
 private:
     // By how much responses are slower than they may be; 1 if they are not.
     double get_slowdown() const;
+    // Returns how many start orders the link carries within the longest queue that they may cause.
+    double count_fitting_starts() const;
 
     std::int64_t bytes_per_second_ = 0;
     std::size_t starts_in_flight_ = 0;
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -111,6 +111,11 @@
                   .Help("1 if the process takes requests")
                   .Register(*registry_)
                   .Add({});
+    overloaded_ = &prometheus::BuildGauge()
+                       .Name("jacinthvane_owner_overloaded")
+                       .Help("1 if the process owns a cell and cannot start further jobs in time")
+                       .Register(*registry_)
+                       .Add({});
     auto& members = prometheus::BuildGauge()
                         .Name("jacinthvane_members")
                         .Help("Members known to this process by state")
@@ -189,6 +194,10 @@
     ready_->Set(is_ready ? 1 : 0);
 }
 
+void metrics::set_overloaded(bool is_overloaded) {
+    overloaded_->Set(is_overloaded ? 1 : 0);
+}
+
 std::uint64_t metrics::get_count(decision what) const {
     return static_cast<std::uint64_t>(decisions_.at(index_of(what))->Value());
 }
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -92,6 +92,8 @@
     void set_queued(task_class work_class, std::uint64_t requests);
     void set_running(task_class work_class, std::uint64_t tasks);
     void set_ready(bool is_ready);
+    // Whether this process owns a cell and cannot start the tasks of further jobs in time.
+    void set_overloaded(bool is_overloaded);
 
     // Return the values of counters, for the state dump and for tests.
     std::uint64_t get_count(decision what) const;
@@ -122,6 +124,7 @@
     std::array<prometheus::Histogram*, times> times_{};
     prometheus::Gauge* config_version_ = nullptr;
     prometheus::Gauge* ready_ = nullptr;
+    prometheus::Gauge* overloaded_ = nullptr;
     std::map<std::string, prometheus::Gauge*, std::less<>> members_;
     std::array<prometheus::Gauge*, 2> queued_{};
     std::array<prometheus::Gauge*, 2> running_{};
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -35,6 +35,9 @@
 // A VM with fewer processors can hardly carry a cell, so it waits until any stronger one has had its turn.
 constexpr std::int64_t strong_processors_milli = 250;
 constexpr std::int64_t weak_delay_ms_per_milli = 4;
+// The same for a VM with a slow link.
+constexpr std::int64_t strong_link_mbps = 100;
+constexpr std::int64_t weak_delay_ms_per_mbps = 5;
 constexpr std::int64_t max_jitter_ms = 40;
 constexpr milliseconds max_contest_delay{800};
 
@@ -160,6 +163,68 @@
     owner_row_ = row;
 }
 
+void cell_member::set_overload(const store_item& item) {
+    overload_notice notice;
+    if (item.revision > 0) {
+        const auto decoded = decode_overload_notice(item.value);
+        if (decoded.ok()) {
+            notice = *decoded;
+        } else {
+            LOG(ERROR) << "event=overload_unreadable error=\"" << decoded.status().message() << "\"";
+        }
+    }
+    std::lock_guard lock(mutex_);
+    overload_ = notice;
+}
+
+void cell_member::apply_owner_item(const store_item& item) {
+    if (item.key == make_owner_key()) {
+        set_owner_row(item);
+    } else if (item.key == make_overload_key()) {
+        set_overload(item);
+    }
+}
+
+std::int64_t cell_member::get_retry_after_ms() const {
+    std::lock_guard lock(mutex_);
+    return overload_.retry_after_ms;
+}
+
+awaitable<void> cell_member::publish_overload(std::shared_ptr<cell_owner> owner) {
+    constexpr milliseconds interval{500};
+    // A change by less than this part is not worth a write.
+    constexpr std::int64_t min_change_divisor = 3;
+    while (!owner->is_over()) {
+        co_await wait_until(get_deadline(interval));
+        const auto present = get_retry_after_ms();
+        const std::int64_t wanted = owner->get_retry_after().count();
+        const bool has_switched = (present > 0) != (wanted > 0);
+        const auto change = std::max(present, wanted) - std::min(present, wanted);
+        if (has_switched || change * min_change_divisor > present) {
+            co_await write_overload(owner->get_token(), wanted);
+        }
+    }
+}
+
+// A write that fails is repeated, since the watch still shows the earlier state.
+awaitable<void> cell_member::write_overload(std::uint64_t token, std::int64_t retry_after_ms) {
+    const std::string key = make_overload_key();
+    store_transaction transaction;
+    {
+        std::lock_guard lock(mutex_);
+        transaction.conditions = {{make_cell_key(), cell_revision_}};
+        if (retry_after_ms > 0) {
+            transaction.writes = {{key, encode_record(overload_notice{token, retry_after_ms}), lease_}};
+        } else {
+            transaction.removals = {key};
+        }
+    }
+    const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
+    record_store_call(result.ok());
+    LOG(INFO) << "event=overload_published token=" << token << " retry_after_ms=" << retry_after_ms
+              << " applied=" << (result.ok() && result->is_applied);
+}
+
 awaitable<void> cell_member::follow_owner() {
     const std::string key = make_owner_key();
     const std::string prefix(owner_prefix);
@@ -178,10 +243,15 @@
             store_delay_ =
                 std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - listed_at);
         }
-        const auto found = std::find_if(listing->items.begin(), listing->items.end(),
-                                        [&](const store_item& item) { return item.key == key; });
-        bool is_owned = found != listing->items.end();
-        set_owner_row(is_owned ? *found : store_item{key, std::string(), 0, 0});
+        const auto find_item = [&](const std::string& wanted) {
+            const auto found = std::find_if(listing->items.begin(), listing->items.end(),
+                                            [&](const store_item& item) { return item.key == wanted; });
+            return found == listing->items.end() ? store_item{wanted, std::string(), 0, 0} : *found;
+        };
+        const auto owner_item = find_item(key);
+        bool is_owned = owner_item.revision > 0;
+        apply_owner_item(owner_item);
+        apply_owner_item(find_item(make_overload_key()));
         if (!is_owned) {
             co_await contest();
             continue;
@@ -197,9 +267,10 @@
             }
             revision = changes->revision;
             for (const auto& change : changes->changes) {
-                const auto present = change.is_removed ? store_item{key, std::string(), 0, 0} : change.item;
-                set_owner_row(present);
-                is_owned = !change.is_removed;
+                const auto& changed_key = change.item.key;
+                apply_owner_item(change.is_removed ? store_item{changed_key, std::string(), 0, 0}
+                                                   : change.item);
+                is_owned = changed_key == key ? !change.is_removed : is_owned;
             }
         }
         if (is_owned) {
@@ -216,10 +287,13 @@
     std::lock_guard lock(mutex_);
     const auto processors_milli = std::max<std::int64_t>(settings_.processors_milli, 10);
     const auto missing_milli = std::max<std::int64_t>(strong_processors_milli - processors_milli, 0);
+    const auto missing_mbps =
+        settings_.link_mbps > 0 ? std::max<std::int64_t>(strong_link_mbps - settings_.link_mbps, 0) : 0;
+    const auto weak_delay_ms =
+        std::max(missing_milli * weak_delay_ms_per_milli, missing_mbps * weak_delay_ms_per_mbps);
     const auto jitter_ms = static_cast<std::int64_t>(get_stable_hash(process_name_) % max_jitter_ms);
     const milliseconds delay(store_delay_.count() * store_latency_factor +
-                             processor_delay_ms_milli / processors_milli +
-                             missing_milli * weak_delay_ms_per_milli + jitter_ms);
+                             processor_delay_ms_milli / processors_milli + weak_delay_ms + jitter_ms);
     return std::min(delay, max_contest_delay);
 }
 
@@ -356,6 +430,7 @@
         cell_revision_ = revision;
     }
     owner->start(get_queues());
+    spawn("publish_overload", publish_overload(owner));
     spawn("keep_lease", keep_lease(lease->id));
     co_return true;
 }
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -37,6 +37,9 @@
     std::shared_ptr<cell_owner> get_owner() const;
     // Returns the record of the current owner with its address, or nothing if no owner is known.
     std::optional<cell_row> get_owner_row() const;
+    // Returns after which time the caller of a new job should come back, as the owner has told all processes;
+    // zero while it can start further jobs in time.
+    std::int64_t get_retry_after_ms() const;
     // Whether this process can accept requests: a recent configuration is in force and the store responds.
     bool is_ready() const;
     // Records the outcome of a store call that another component made; is_ready() uses it.
@@ -53,6 +56,12 @@
     awaitable<bool> write_claim(cell_row row, std::uint64_t expected_revision);
     awaitable<void> keep_lease(std::uint64_t lease);
     awaitable<void> release_lease(std::uint64_t lease);
+    // Tells the other processes when this owner is overloaded, and when it no longer is.
+    awaitable<void> publish_overload(std::shared_ptr<cell_owner> owner);
+    awaitable<void> write_overload(std::uint64_t token, std::int64_t retry_after_ms);
+    void set_overload(const store_item& item);
+    // Applies an item under owner_prefix; one without a revision has been removed.
+    void apply_owner_item(const store_item& item);
 
     void install_config(std::shared_ptr<const queue_index> queues);
     void set_owner_row(const store_item& item);
@@ -71,6 +80,7 @@
     mutable ordered_mutex mutex_{lock_rank::cell_member};
     std::shared_ptr<cell_owner> owner_;
     std::optional<cell_row> owner_row_;
+    overload_notice overload_;
     bool is_stopping_ = false;
     std::uint64_t lease_ = 0;
     std::uint64_t cell_revision_ = 0;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -42,6 +42,7 @@
       metrics_(counters),
       scheduler_(limits.cell, claim_.row.token, claim_.claimed_at),
       link_(limits.link_mbps),
+      backlog_(std::chrono::steady_clock::now()),
       proven_at_(get_suspend_aware_now()) {}
 
 clock_reading cell_owner::read_clock() {
@@ -155,6 +156,7 @@
     spawn("remove_expired_jobs", remove_expired_jobs());
     spawn("log_summaries", log_summaries());
     spawn("measure_timers", measure_timers());
+    spawn("watch_backlog", watch_backlog());
     spawn("follow_tails", follow_tails());
     co_await dispatch();
 }
@@ -366,6 +368,8 @@
                     link_.begin_start(estimate_bytes(*start));
                 }
             }
+            ++decisions_;
+            held_decisions_ += scheduler_.has_held_starts() ? 1 : 0;
             load_.add_decision(std::chrono::steady_clock::now() - started_at);
         }
         for (std::size_t i = 0; i < decisions.orders.size(); ++i) {
@@ -435,6 +439,7 @@
         std::lock_guard lock(mutex_);
         if (start != nullptr) {
             link_.end_start(estimate_bytes(*start));
+            accepted_starts_ += response.result == order_result::accepted ? 1 : 0;
         }
         load_.end_order(
             std::chrono::steady_clock::now() - started_at,
@@ -510,6 +515,35 @@
     }
 }
 
+awaitable<void> cell_owner::watch_backlog() {
+    constexpr milliseconds interval{500};
+    while (!is_over()) {
+        co_await wait_until(std::chrono::steady_clock::now() + interval);
+        std::lock_guard lock(mutex_);
+        const bool was_overloaded = backlog_.get_retry_after() > milliseconds(0);
+        const bool is_bound = held_decisions_ * 2 > decisions_ && link_.is_link_narrow(max_starts_in_flight);
+        backlog_.update(std::chrono::steady_clock::now(), accepted_starts_, scheduler_.count_waiting_tasks(),
+                        is_bound);
+        accepted_starts_ = 0;
+        decisions_ = 0;
+        held_decisions_ = 0;
+        const bool is_overloaded = backlog_.get_retry_after() > milliseconds(0);
+        metrics_.set_overloaded(is_overloaded && !is_over_);
+        if (is_overloaded != was_overloaded) {
+            LOG(INFO) << "event=" << (is_overloaded ? "cell_overloaded" : "cell_carried")
+                      << " token=" << claim_.row.token
+                      << " expected_wait_ms=" << backlog_.get_expected_wait().count()
+                      << " retry_after_ms=" << backlog_.get_retry_after().count();
+        }
+    }
+    metrics_.set_overloaded(false);
+}
+
+milliseconds cell_owner::get_retry_after() const {
+    std::lock_guard lock(mutex_);
+    return backlog_.get_retry_after();
+}
+
 std::string cell_owner::dump_state() const {
     std::lock_guard lock(mutex_);
     std::ostringstream text;
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -20,6 +20,7 @@
 #include "process/ordered_mutex.hpp"
 #include "process/owner_load.hpp"
 #include "process/response_times.hpp"
+#include "process/start_backlog.hpp"
 #include "process/work_pacer.hpp"
 #include "version/cell_scheduler.hpp"
 
@@ -70,6 +71,9 @@
     std::uint64_t get_token() const { return claim_.row.token; }
     std::optional<job_phase> get_state(const job_id& id, const std::string& queue) const;
     std::vector<queue_status> get_queue_statuses() const;
+    // Returns after which time the caller of a new job should come back; zero while this owner can start
+    // further jobs in time.
+    std::chrono::milliseconds get_retry_after() const;
     // Records that a query of another process was answered with a response of this size.
     void record_query(std::size_t response_bytes);
     // Returns a readable dump for operators.
@@ -115,6 +119,8 @@
     awaitable<void> log_summaries();
     // Measures how late this process runs its timers.
     awaitable<void> measure_timers();
+    // Decides again and again whether further jobs can be started in time.
+    awaitable<void> watch_backlog();
     awaitable<void> load_tails();
     awaitable<void> follow_tails();
     // Writes the tail latency estimates if they have changed since the last write.
@@ -152,6 +158,12 @@
     owner_load load_;
     link_pacer link_;
     response_times responses_;
+    start_backlog backlog_;
+    // Since the last update of backlog_: start orders that were accepted, decisions, and those of them that
+    // left tasks waiting because no more start orders might be in flight.
+    std::size_t accepted_starts_ = 0;
+    std::size_t decisions_ = 0;
+    std::size_t held_decisions_ = 0;
     // The last read of changed jobs failed. Only the first of several failures in a row is logged.
     bool is_job_watch_failing_ = false;
     work_pacer pacer_;
--- a/src/request/job_submission.cpp
+++ b/src/request/job_submission.cpp
@@ -8,6 +8,7 @@
 #include <glog/logging.h>
 
 #include "process/error_kind.hpp"
+#include "process/stable_hash.hpp"
 #include "request/peer_queries.hpp"
 
 namespace jacinthvane {
@@ -37,6 +38,9 @@
 
 awaitable<absl::Status> job_submission::submit(queue_rules rules, job_id id, job_spec spec,
                                                time_point deadline) {
+    if (const auto retry_after_ms = member_->get_retry_after_ms(); retry_after_ms > 0) {
+        co_return co_await refuse_unless_known(std::move(id), retry_after_ms, deadline);
+    }
     accepted_job job;
     job.rules = std::move(rules);
     job.spec = std::move(spec);
@@ -70,6 +74,30 @@
     co_return is_unknown ? make_error(error_kind::store_outcome_unknown, std::string(last.message())) : last;
 }
 
+awaitable<absl::Status> job_submission::refuse_unless_known(job_id id, std::int64_t retry_after_ms,
+                                                            time_point deadline) {
+    // In this order: the transaction that writes the final progress also removes the job record.
+    for (const auto& key : {make_job_key(id), make_progress_key(id)}) {
+        const auto item = co_await store_.get(key, get_deadline(write_timeout, deadline));
+        member_->record_store_call(item.ok());
+        if (!item.ok()) {
+            co_return make_error(error_kind::store_outcome_unknown,
+                                 "job " + id.get() + " may have been accepted before, and the store does " +
+                                     "not tell: " + std::string(item.status().message()));
+        }
+        if (item->revision > 0) {
+            co_return absl::OkStatus();
+        }
+    }
+    LOG(INFO) << "event=job_refused job=" << id.get() << " retry_after_ms=" << retry_after_ms;
+    metrics_.count_refused(error_kind::overloaded);
+    // Callers that were refused at the same time come back at different ones.
+    constexpr std::int64_t spread_percent = 50;
+    const auto spread = static_cast<std::int64_t>(get_stable_hash(id.get()) % spread_percent);
+    co_return make_refusal(error_kind::overloaded, "the cell cannot start further jobs in time",
+                           retry_after_ms * (100 + spread) / 100);
+}
+
 awaitable<absl::Status> job_submission::cancel(job_id id, time_point deadline) {
     store_transaction transaction;
     // The marker is written even if the job does not exist, since its creation may still be in flight.
--- a/src/request/job_submission.hpp
+++ b/src/request/job_submission.hpp
@@ -36,6 +36,8 @@
     awaitable<absl::StatusOr<std::uint64_t>> count_pending(std::string queue, time_point deadline);
 
 private:
+    // Refuses a job that the owner could not start in time, unless it was accepted before.
+    awaitable<absl::Status> refuse_unless_known(job_id id, std::int64_t retry_after_ms, time_point deadline);
     awaitable<absl::StatusOr<job_phase>> query_owner(std::string queue, job_id id, time_point deadline);
     awaitable<absl::StatusOr<job_phase>> read_state(std::string queue, job_id id, time_point deadline);
     awaitable<absl::StatusOr<std::vector<queue_status>>> get_statuses(time_point deadline);
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -83,6 +83,7 @@
     }
     decisions.orders.swap(queued_orders_);
     starts_left_ = max_starts;
+    has_held_starts_ = false;
     for (auto& [id, upstream] : upstreams_) {
         repeat_orders(upstream, now, may_start, decisions.orders);
     }
@@ -96,6 +97,7 @@
     const bool is_resolved = is_takeover_resolved(now);
     for (auto* job : sort_waiting_jobs(now)) {
         if (starts_left_ == 0) {
+            has_held_starts_ = true;
             break;
         }
         if (job->is_inherited && !is_resolved) {
@@ -152,6 +154,7 @@
             continue;
         }
         if (starts_left_ == 0) {
+            has_held_starts_ = true;
             return;
         }
         const auto chosen = choose_upstream(job, ref, task, now);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -153,6 +153,9 @@
     cell_decisions decide(clock_reading clock, bool may_start,
                           std::size_t max_starts = std::numeric_limits<std::size_t>::max());
 
+    // Whether the last decision left tasks waiting because it might start no more of them.
+    bool has_held_starts() const { return has_held_starts_; }
+
     // Whether a start order that was decided earlier should still be sent: its job may have been cancelled,
     // or an earlier run of its task may have turned out to be done.
     bool is_start_pending(const start_order& order) const;
@@ -179,6 +182,8 @@
     std::size_t get_job_count() const { return jobs_.size(); }
     std::size_t get_run_count() const;
     cell_summary get_summary(time_point now) const;
+    // Returns the number of tasks of released steps that wait for an upstream.
+    std::size_t count_waiting_tasks() const;
 
     // The learned interference between images, which the next owner starts from.
     tail_snapshot make_tail_snapshot() const { return tail_model_.make_snapshot(); }
@@ -257,6 +262,8 @@
     std::int32_t get_priority(const job_record& job) const;
     void update_waiting(const job_record& job);
     void begin_commit_batch();
+    // Adds the waiting tasks to the summary (cell_summary.cpp).
+    void count_waiting_tasks_by_kind(cell_summary& summary) const;
 
     // Crashes of upstreams (cell_crashes.cpp)
     // Counts the crash against the tasks that may have caused it, and fails the jobs of those that have.
@@ -390,6 +397,7 @@
     std::vector<unplaced_size> unplaced_;
     // Valid within one decision.
     std::size_t starts_left_ = 0;
+    bool has_held_starts_ = false;
     std::vector<upstream_ledger*> usable_upstreams_;
     std::unordered_map<const upstream_ledger*, best_effort_view> best_effort_views_;
     std::vector<candidate> candidates_;
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -12,7 +12,7 @@
 
 constexpr std::int32_t full_cpu_limit_percent = 100;
 
-void count_waiting_tasks(const job_record& job, cell_summary& summary) {
+void count_waiting_tasks_of(const job_record& job, cell_summary& summary) {
     for (const auto& [number, occurrence] : job.occurrences) {
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
             if (!occurrence.steps[i].is_released) {
@@ -48,14 +48,24 @@
 
 }  // namespace
 
-cell_summary cell_scheduler::get_summary(time_point now) const {
+std::size_t cell_scheduler::count_waiting_tasks() const {
     cell_summary summary;
-    summary.jobs = jobs_.size();
+    count_waiting_tasks_by_kind(summary);
+    return summary.waiting_serving + summary.waiting_best_effort + summary.waiting_others;
+}
+
+void cell_scheduler::count_waiting_tasks_by_kind(cell_summary& summary) const {
     for (const auto& id : waiting_jobs_) {
         if (const auto found = jobs_.find(id); found != jobs_.end()) {
-            count_waiting_tasks(found->second, summary);
+            count_waiting_tasks_of(found->second, summary);
         }
     }
+}
+
+cell_summary cell_scheduler::get_summary(time_point now) const {
+    cell_summary summary;
+    summary.jobs = jobs_.size();
+    count_waiting_tasks_by_kind(summary);
     for (const auto& [id, upstream] : upstreams_) {
         const bool is_usable = upstream.is_listed && upstream.has_responded && !upstream.is_unresponsive &&
                                !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -76,6 +76,13 @@
         return member;
     }
 
+    // Writes the notice of an owner that is overloaded.
+    void write_overload(std::int64_t retry_after_ms) {
+        store_transaction transaction;
+        transaction.writes = {{make_overload_key(), encode_record(overload_notice{1, retry_after_ms}), 0}};
+        store->apply(transaction);
+    }
+
     asio::io_context context;
     metrics counters;
     std::shared_ptr<memory_cell_store> store = std::make_shared<memory_cell_store>(machine_clock{});
@@ -98,6 +105,16 @@
     co_return false;
 }
 
+// Returns whether the condition came to hold within a few seconds.
+template <typename condition>
+awaitable<bool> wait_until_holds(condition holds) {
+    const auto deadline = after(seconds(5));
+    while (!holds() && std::chrono::steady_clock::now() < deadline) {
+        co_await wait_until(after(milliseconds(5)));
+    }
+    co_return holds();
+}
+
 awaitable<job_phase> wait_for_end(job_submission& jobs, job_id id) {
     const auto deadline = after(seconds(8));
     auto state = job_phase::queued;
@@ -315,6 +332,57 @@
     });
 }
 
+// Guards against jobs that are accepted although the owner has told that it cannot start them in time,
+// against refusals of jobs that were accepted before, and against a notice that outlives the overload.
+BOOST_AUTO_TEST_CASE(refuses_only_new_jobs_while_the_owner_is_overloaded) {
+    cell_parts cell;
+    const auto member = cell.add_member("one");
+    job_submission jobs(cell.context, cell_store(cell.store), member, cell.counters);
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        const auto rules = make_rules();
+        const auto spec = make_spec(1);
+        const job_id known("00000000000000aa");
+        const auto first = co_await jobs.submit(rules, known, spec, after(seconds(1)));
+        BOOST_TEST(first.ok());
+        constexpr std::int64_t retry_after_ms = 4000;
+        cell.write_overload(retry_after_ms);
+        BOOST_TEST(co_await wait_until_holds([&] { return member->get_retry_after_ms() > 0; }));
+        const job_id refused("00000000000000bb");
+        const auto refusal = co_await jobs.submit(rules, refused, spec, after(seconds(1)));
+        BOOST_TEST((get_error_kind(refusal) == error_kind::overloaded));
+        BOOST_TEST((get_run_knowledge(refusal) == run_knowledge::not_run));
+        BOOST_TEST(get_retry_after_ms(refusal) >= retry_after_ms);
+        BOOST_TEST(get_retry_after_ms(refusal) < 2 * retry_after_ms);
+        const auto repeat = co_await jobs.submit(rules, known, spec, after(seconds(1)));
+        BOOST_TEST(repeat.ok());
+        // The owner has no backlog, so it removes the notice.
+        BOOST_TEST(co_await wait_until_holds([&] { return member->get_retry_after_ms() == 0; }));
+        const auto accepted = co_await jobs.submit(rules, refused, spec, after(seconds(1)));
+        BOOST_TEST(accepted.ok());
+        BOOST_TEST((co_await wait_for_end(jobs, refused) == job_phase::done));
+    });
+}
+
+// Guards against a refusal that says that a job never runs although the store does not tell whether it was
+// accepted before.
+BOOST_AUTO_TEST_CASE(an_overloaded_cell_refuses_nothing_that_it_cannot_look_up) {
+    cell_parts cell;
+    const auto member = cell.add_member("one");
+    job_submission jobs(cell.context, cell_store(cell.store), member, cell.counters);
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        cell.write_overload(4000);
+        BOOST_TEST(co_await wait_until_holds([&] { return member->get_retry_after_ms() > 0; }));
+        cell.store->set_faults({true, false});
+        const job_id id("00000000000000aa");
+        const auto rules = make_rules();
+        const auto spec = make_spec(1);
+        const auto status = co_await jobs.submit(rules, id, spec, after(seconds(1)));
+        BOOST_TEST((get_error_kind(status) == error_kind::store_outcome_unknown));
+    });
+}
+
 // A process that cannot reach the store reports that it is not ready, so that the load balancer stops sending
 // requests to it, and becomes ready again when the store is reachable.
 BOOST_AUTO_TEST_CASE(is_not_ready_while_the_store_is_unavailable) {
--- a/tests/link_pacer_test.cpp
+++ b/tests/link_pacer_test.cpp
@@ -34,6 +34,7 @@
     constexpr std::size_t max_queue_ms = 200;
     jacinthvane::link_pacer pacer(2);
     fill_link(pacer);
+    BOOST_TEST(pacer.is_link_narrow(any_number));
     BOOST_TEST(pacer.get_bytes_in_flight() <= bytes_per_ms * max_queue_ms);
     BOOST_TEST(pacer.get_bytes_in_flight() > 0U);
     pacer.end_start(start_bytes);
@@ -45,6 +46,7 @@
     for (const std::int64_t link_mbps : {0, 200, 1000}) {
         jacinthvane::link_pacer pacer(link_mbps);
         BOOST_TEST(fill_link(pacer) == any_number);
+        BOOST_TEST(!pacer.is_link_narrow(any_number));
     }
 }
 
