--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -98,7 +98,7 @@
 
 template <class Archive>
 void serialize(Archive& archive, overload_notice& notice) {
-    archive(notice.token, notice.retry_after_ms);
+    archive(notice.token, notice.accepts_at_unix_ms);
 }
 
 template <class Archive>
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -28,8 +28,8 @@
 // What an owner that cannot start further jobs in time tells the other processes.
 struct overload_notice {
     std::uint64_t token = 0;
-    // After which time a refused caller should come back.
-    std::int64_t retry_after_ms = 0;
+    // When jobs will probably be accepted again; 0 if they are accepted.
+    std::int64_t accepts_at_unix_ms = 0;
 
     bool operator==(const overload_notice&) const = default;
 };
--- a/src/process/link_pacer.hpp
+++ b/src/process/link_pacer.hpp
@@ -9,7 +9,8 @@
 // Keeps the calls of an owner within what the link of its VM carries. Polls renew leases, so they come first:
 // the pause between them leaves a part of the link free. Start orders fill what remains, with a bound on the
 // bytes in flight: more of them would only lengthen the queue of the link, in which polls wait too. The rate
-// of the link comes from the settings; without one there is no bound. Not safe for concurrent use.
+// of the link comes from the settings. While responses are slow, both are reduced, also without a rate. Not
+// safe for concurrent use.
 class link_pacer {
 public:
     // A rate of 0 is unknown.
--- a/src/process/start_backlog.cpp
+++ b/src/process/start_backlog.cpp
@@ -36,12 +36,8 @@
     const auto usable_rate = std::max(starts_per_second_, min_starts_per_second);
     const auto wait_ms = static_cast<double>(waiting_tasks) / usable_rate * 1000.0;
     expected_wait_ = is_bound ? milliseconds(static_cast<std::int64_t>(wait_ms)) : milliseconds(0);
-    const bool is_refusing = retry_after_ > milliseconds(0);
-    if (expected_wait_ <= (is_refusing ? short_wait : max_wait)) {
-        retry_after_ = milliseconds(0);
-        return;
-    }
-    retry_after_ = std::clamp(expected_wait_ - short_wait, min_retry_after, max_retry_after);
+    is_refusing_ = expected_wait_ > (is_refusing_ ? short_wait : max_wait);
+    accepts_at_ = now + std::clamp(expected_wait_ - short_wait, min_retry_after, max_retry_after);
 }
 
 }  // namespace jacinthvane
--- a/src/process/start_backlog.hpp
+++ b/src/process/start_backlog.hpp
@@ -19,8 +19,10 @@
     // decisions left tasks waiting because of the link. The tasks are those that wait now.
     void update(time_point now, std::size_t starts, std::size_t waiting_tasks, bool is_bound);
 
-    // Returns after which time a refused caller should come back; zero while jobs are accepted.
-    std::chrono::milliseconds get_retry_after() const { return retry_after_; }
+    // Whether new jobs should be refused.
+    bool is_refusing() const { return is_refusing_; }
+    // Returns when new jobs will probably be accepted again; meaningful only while they are refused.
+    time_point get_accepts_at() const { return accepts_at_; }
     // Returns how long the last task that waits now will wait for its start.
     std::chrono::milliseconds get_expected_wait() const { return expected_wait_; }
 
@@ -31,7 +33,8 @@
     // Moving average over the times in which the link was the bound.
     double starts_per_second_ = 0;
     std::chrono::milliseconds expected_wait_{0};
-    std::chrono::milliseconds retry_after_{0};
+    bool is_refusing_ = false;
+    time_point accepts_at_;
 };
 
 }  // namespace jacinthvane
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <mutex>
 #include <utility>
 
@@ -39,6 +40,9 @@
 constexpr std::int64_t strong_link_mbps = 100;
 constexpr std::int64_t weak_delay_ms_per_mbps = 5;
 constexpr std::int64_t max_jitter_ms = 40;
+// Bounds of the time after which refused callers come back.
+constexpr std::int64_t min_retry_after_ms = 1000;
+constexpr std::int64_t max_retry_after_ms = 30000;
 constexpr milliseconds max_contest_delay{800};
 
 live_peer make_peer(const entry_settings& settings, const std::string& process_name) {
@@ -187,41 +191,55 @@
 
 std::int64_t cell_member::get_retry_after_ms() const {
     std::lock_guard lock(mutex_);
-    return overload_.retry_after_ms;
+    if (overload_.accepts_at_unix_ms == 0) {
+        return 0;
+    }
+    // The notice ends the refusals, and not its time: clocks of VMs differ, and may jump.
+    return std::clamp(overload_.accepts_at_unix_ms - get_unix_ms(), min_retry_after_ms, max_retry_after_ms);
 }
 
 awaitable<void> cell_member::publish_overload(std::shared_ptr<cell_owner> owner) {
     constexpr milliseconds interval{500};
-    // A change by less than this part is not worth a write.
-    constexpr std::int64_t min_change_divisor = 3;
+    // An end that has moved by less is not worth a write.
+    constexpr std::int64_t min_change_ms = 1500;
     while (!owner->is_over()) {
         co_await wait_until(get_deadline(interval));
-        const auto present = get_retry_after_ms();
-        const std::int64_t wanted = owner->get_retry_after().count();
-        const bool has_switched = (present > 0) != (wanted > 0);
-        const auto change = std::max(present, wanted) - std::min(present, wanted);
-        if (has_switched || change * min_change_divisor > present) {
-            co_await write_overload(owner->get_token(), wanted);
+        overload_notice present;
+        {
+            std::lock_guard lock(mutex_);
+            present = overload_;
+        }
+        overload_notice wanted{owner->get_token(), 0};
+        if (const auto end = owner->get_overload_end()) {
+            const auto left = *end - std::chrono::steady_clock::now();
+            wanted.accepts_at_unix_ms =
+                get_unix_ms() + std::chrono::duration_cast<milliseconds>(left).count();
+        }
+        const bool has_switched = (present.accepts_at_unix_ms > 0) != (wanted.accepts_at_unix_ms > 0);
+        if (has_switched ||
+            std::abs(present.accepts_at_unix_ms - wanted.accepts_at_unix_ms) > min_change_ms) {
+            co_await write_overload(wanted);
         }
     }
 }
 
 // A write that fails is repeated, since the watch still shows the earlier state.
-awaitable<void> cell_member::write_overload(std::uint64_t token, std::int64_t retry_after_ms) {
+awaitable<void> cell_member::write_overload(overload_notice notice) {
     const std::string key = make_overload_key();
     store_transaction transaction;
     {
         std::lock_guard lock(mutex_);
         transaction.conditions = {{make_cell_key(), cell_revision_}};
-        if (retry_after_ms > 0) {
-            transaction.writes = {{key, encode_record(overload_notice{token, retry_after_ms}), lease_}};
+        if (notice.accepts_at_unix_ms > 0) {
+            transaction.writes = {{key, encode_record(notice), lease_}};
         } else {
             transaction.removals = {key};
         }
     }
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     record_store_call(result.ok());
-    LOG(INFO) << "event=overload_published token=" << token << " retry_after_ms=" << retry_after_ms
+    LOG(INFO) << "event=overload_published token=" << notice.token
+              << " accepts_at_unix_ms=" << notice.accepts_at_unix_ms
               << " applied=" << (result.ok() && result->is_applied);
 }
 
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -37,8 +37,8 @@
     std::shared_ptr<cell_owner> get_owner() const;
     // Returns the record of the current owner with its address, or nothing if no owner is known.
     std::optional<cell_row> get_owner_row() const;
-    // Returns after which time the caller of a new job should come back, as the owner has told all processes;
-    // zero while it can start further jobs in time.
+    // Returns after how many milliseconds the caller of a new job should come back, by what the owner has
+    // told all processes; 0 while it can start further jobs in time.
     std::int64_t get_retry_after_ms() const;
     // Whether this process can accept requests: a recent configuration is in force and the store responds.
     bool is_ready() const;
@@ -58,7 +58,7 @@
     awaitable<void> release_lease(std::uint64_t lease);
     // Tells the other processes when this owner is overloaded, and when it no longer is.
     awaitable<void> publish_overload(std::shared_ptr<cell_owner> owner);
-    awaitable<void> write_overload(std::uint64_t token, std::int64_t retry_after_ms);
+    awaitable<void> write_overload(overload_notice notice);
     void set_overload(const store_item& item);
     // Applies an item under owner_prefix; one without a revision has been removed.
     void apply_owner_item(const store_item& item);
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -520,28 +520,27 @@
     while (!is_over()) {
         co_await wait_until(std::chrono::steady_clock::now() + interval);
         std::lock_guard lock(mutex_);
-        const bool was_overloaded = backlog_.get_retry_after() > milliseconds(0);
+        const bool was_overloaded = backlog_.is_refusing();
         const bool is_bound = held_decisions_ * 2 > decisions_ && link_.is_link_narrow(max_starts_in_flight);
         backlog_.update(std::chrono::steady_clock::now(), accepted_starts_, scheduler_.count_waiting_tasks(),
                         is_bound);
         accepted_starts_ = 0;
         decisions_ = 0;
         held_decisions_ = 0;
-        const bool is_overloaded = backlog_.get_retry_after() > milliseconds(0);
+        const bool is_overloaded = backlog_.is_refusing();
         metrics_.set_overloaded(is_overloaded && !is_over_);
         if (is_overloaded != was_overloaded) {
             LOG(INFO) << "event=" << (is_overloaded ? "cell_overloaded" : "cell_carried")
                       << " token=" << claim_.row.token
-                      << " expected_wait_ms=" << backlog_.get_expected_wait().count()
-                      << " retry_after_ms=" << backlog_.get_retry_after().count();
+                      << " expected_wait_ms=" << backlog_.get_expected_wait().count();
         }
     }
     metrics_.set_overloaded(false);
 }
 
-milliseconds cell_owner::get_retry_after() const {
+std::optional<time_point> cell_owner::get_overload_end() const {
     std::lock_guard lock(mutex_);
-    return backlog_.get_retry_after();
+    return backlog_.is_refusing() ? std::optional(backlog_.get_accepts_at()) : std::nullopt;
 }
 
 std::string cell_owner::dump_state() const {
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -71,9 +71,8 @@
     std::uint64_t get_token() const { return claim_.row.token; }
     std::optional<job_phase> get_state(const job_id& id, const std::string& queue) const;
     std::vector<queue_status> get_queue_statuses() const;
-    // Returns after which time the caller of a new job should come back; zero while this owner can start
-    // further jobs in time.
-    std::chrono::milliseconds get_retry_after() const;
+    // Returns when this owner will probably be able to start further jobs in time; nothing if it is now.
+    std::optional<time_point> get_overload_end() const;
     // Records that a query of another process was answered with a response of this size.
     void record_query(std::size_t response_bytes);
     // Returns a readable dump for operators.
