--- a/src/process/link_pacer.cpp
+++ b/src/process/link_pacer.cpp
@@ -60,14 +60,15 @@
     return window / (start_bytes_ > 0 ? start_bytes_ : assumed_start_bytes);
 }
 
-bool link_pacer::is_link_narrow(std::size_t at_most) const {
-    return bytes_per_second_ > 0 && count_fitting_starts() < static_cast<double>(at_most);
+bool link_pacer::is_link_narrow() const {
+    return bytes_per_second_ > 0 && count_fitting_starts() < static_cast<double>(max_starts_in_flight);
 }
 
-std::size_t link_pacer::get_free_starts(std::size_t at_most) const {
-    const auto fitting = is_link_narrow(at_most) ? count_fitting_starts() : static_cast<double>(at_most);
+std::size_t link_pacer::get_free_starts() const {
+    const auto fitting =
+        is_link_narrow() ? count_fitting_starts() : static_cast<double>(max_starts_in_flight);
     const auto slowed = static_cast<std::size_t>(fitting / get_slowdown());
-    const auto limit = std::clamp(slowed, std::min(min_starts, at_most), at_most);
+    const auto limit = std::clamp(slowed, min_starts, max_starts_in_flight);
     return limit - std::min(limit, starts_in_flight_);
 }
 
--- a/src/process/link_pacer.hpp
+++ b/src/process/link_pacer.hpp
@@ -13,6 +13,10 @@
 // safe for concurrent use.
 class link_pacer {
 public:
+    // Start orders without a response on any link. Responses of healthy upstreams take tens of milliseconds
+    // at most, also between regions, so this allows thousands of starts a second.
+    static constexpr std::size_t max_starts_in_flight = 256;
+
     // A rate of 0 is unknown.
     explicit link_pacer(std::int64_t link_mbps);
 
@@ -25,10 +29,10 @@
     // process is, so less is put into it.
     void set_response_time(std::chrono::milliseconds median) { response_time_ = median; }
 
-    // Returns how many further start orders may be sent now, at most the given number.
-    std::size_t get_free_starts(std::size_t at_most) const;
-    // Whether the rate of the link, and not the given number, bounds the start orders in flight.
-    bool is_link_narrow(std::size_t at_most) const;
+    // Returns how many further start orders may be sent now.
+    std::size_t get_free_starts() const;
+    // Whether the rate of the link bounds the start orders in flight, and not max_starts_in_flight.
+    bool is_link_narrow() const;
     // Returns the least time from the start of a poll of an upstream to the start of its next one, if this
     // many upstreams are polled.
     std::chrono::milliseconds get_poll_pause(std::size_t upstreams) const;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -25,9 +25,6 @@
 constexpr milliseconds decision_interval{20};
 constexpr milliseconds max_decision_interval{150};
 constexpr int pause_to_work_ratio = 5;
-// Tasks wait in the queue while this many start orders have no response yet. Responses of healthy upstreams
-// take tens of milliseconds at most, also between regions, so this allows thousands of starts a second.
-constexpr std::size_t max_starts_in_flight = 256;
 // Interval at which deadlines are checked when nothing else changes.
 constexpr milliseconds idle_interval{100};
 
@@ -87,11 +84,6 @@
     return scheduler_.get_queue_statuses();
 }
 
-void cell_owner::record_query(std::size_t response_bytes) {
-    std::lock_guard lock(mutex_);
-    load_.add_query(response_bytes);
-}
-
 void cell_owner::end(const std::string& reason) {
     {
         std::lock_guard lock(mutex_);
@@ -357,7 +349,7 @@
         {
             std::lock_guard lock(mutex_);
             decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_,
-                                          link_.get_free_starts(max_starts_in_flight));
+                                          link_.get_free_starts());
             for (const auto& order : decisions.orders) {
                 const auto& id =
                     std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
@@ -391,27 +383,6 @@
     return scheduler_.is_start_pending(order) && is_ownership_proven();
 }
 
-void cell_owner::record_response(time_point expected_at) {
-    const auto now = std::chrono::steady_clock::now();
-    std::lock_guard lock(mutex_);
-    responses_.add(now, std::chrono::duration_cast<milliseconds>(now - expected_at));
-}
-
-bool cell_owner::is_silence_conclusive(time_point expected_at, time_point deadline) const {
-    const auto now = std::chrono::steady_clock::now();
-    if (now < deadline) {
-        return true;
-    }
-    const auto waited = std::chrono::duration_cast<milliseconds>(deadline - expected_at);
-    std::lock_guard lock(mutex_);
-    return responses_.is_silence_conclusive(expected_at, waited, now);
-}
-
-milliseconds cell_owner::get_call_timeout(milliseconds at_least) const {
-    std::lock_guard lock(mutex_);
-    return responses_.get_timeout(at_least, std::chrono::steady_clock::now());
-}
-
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
     const auto started_at = std::chrono::steady_clock::now();
     const auto deadline = started_at + get_call_timeout(min_order_timeout);
@@ -474,75 +445,6 @@
     wake_.notify_all();
 }
 
-awaitable<void> cell_owner::log_summaries() {
-    constexpr milliseconds interval{1000};
-    while (!is_over()) {
-        co_await wait_until(std::chrono::steady_clock::now() + interval);
-        cell_summary cell;
-        std::string load;
-        {
-            std::lock_guard lock(mutex_);
-            const auto now = std::chrono::steady_clock::now();
-            const auto median = responses_.get_median(now - interval, now);
-            load = load_.take_fields() + " poll_pause_ms=" + std::to_string(get_poll_pause().count()) +
-                   " start_bytes_in_flight=" + std::to_string(link_.get_bytes_in_flight()) +
-                   " response_median_ms=" + (median ? std::to_string(median->count()) : "none");
-            cell = scheduler_.get_summary(std::chrono::steady_clock::now());
-        }
-        LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
-                  << " waiting_serving=" << cell.waiting_serving
-                  << " waiting_fillers=" << cell.waiting_best_effort
-                  << " waiting_others=" << cell.waiting_others << " usable=" << cell.usable_upstreams
-                  << " on_trial=" << cell.trial_upstreams << " crossed=" << cell.over_target_upstreams
-                  << " capacity=" << cell.capacity_milli << " committed=" << cell.committed_milli
-                  << " fillers=" << cell.running_best_effort << " filler_milli=" << cell.best_effort_milli
-                  << " paced_milli=" << cell.limited_cpu_milli << " used_milli=" << cell.used_milli;
-        LOG(INFO) << "event=owner_load token=" << claim_.row.token << " " << load;
-    }
-}
-
-awaitable<void> cell_owner::measure_timers() {
-    constexpr milliseconds interval{50};
-    constexpr milliseconds response_window{500};
-    while (!is_over()) {
-        const auto due = std::chrono::steady_clock::now() + interval;
-        co_await wait_until(due);
-        const auto now = std::chrono::steady_clock::now();
-        std::lock_guard lock(mutex_);
-        load_.add_timer(due, now);
-        pacer_.add_timer(due, now);
-        link_.set_response_time(responses_.get_median(now - response_window, now).value_or(milliseconds(0)));
-    }
-}
-
-awaitable<void> cell_owner::watch_backlog() {
-    constexpr milliseconds interval{500};
-    while (!is_over()) {
-        co_await wait_until(std::chrono::steady_clock::now() + interval);
-        std::lock_guard lock(mutex_);
-        const bool was_overloaded = backlog_.is_refusing();
-        const bool is_bound = held_decisions_ * 2 > decisions_ && link_.is_link_narrow(max_starts_in_flight);
-        backlog_.update(std::chrono::steady_clock::now(), accepted_starts_, scheduler_.count_waiting_tasks(),
-                        is_bound);
-        accepted_starts_ = 0;
-        decisions_ = 0;
-        held_decisions_ = 0;
-        const bool is_overloaded = backlog_.is_refusing();
-        metrics_.set_overloaded(is_overloaded && !is_over_);
-        if (is_overloaded != was_overloaded) {
-            LOG(INFO) << "event=" << (is_overloaded ? "cell_overloaded" : "cell_carried")
-                      << " token=" << claim_.row.token
-                      << " expected_wait_ms=" << backlog_.get_expected_wait().count();
-        }
-    }
-    metrics_.set_overloaded(false);
-}
-
-std::optional<time_point> cell_owner::get_overload_end() const {
-    std::lock_guard lock(mutex_);
-    return backlog_.is_refusing() ? std::optional(backlog_.get_accepts_at()) : std::nullopt;
-}
-
 std::string cell_owner::dump_state() const {
     std::lock_guard lock(mutex_);
     std::ostringstream text;
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds maintenance_interval{40};
 // A best-effort task starts only where it raises the total speed of all best-effort tasks by at least this
 // share of its own full speed.
 constexpr double min_best_effort_gain = 0.9;
@@ -66,21 +65,7 @@
         return decisions;
     }
     const auto now = clock.now;
-    if (now >= next_maintenance_) {
-        next_maintenance_ = now + maintenance_interval;
-        release_expired_runs(now);
-        for (auto& [id, upstream] : upstreams_) {
-            stop_stalled_runs(upstream, now);
-            move_runs_from_leaving(upstream, now);
-        }
-        const auto scheduled = scheduled_jobs_;
-        for (const auto& id : scheduled) {
-            if (auto* job = find_job(id)) {
-                open_due_occurrences(*job, clock);
-                update_waiting(*job);
-            }
-        }
-    }
+    maintain_runs(clock);
     decisions.orders.swap(queued_orders_);
     starts_left_ = max_starts;
     has_held_starts_ = false;
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -10,6 +10,7 @@
 
 namespace {
 
+constexpr std::chrono::milliseconds maintenance_interval{40};
 // A run that reports no progress for this long, by the clock of its upstream, is stopped and started on
 // another upstream. Time in which this process read no report says nothing about the run.
 constexpr std::chrono::milliseconds stall_timeout{3000};
@@ -21,6 +22,25 @@
 
 }  // namespace
 
+void cell_scheduler::maintain_runs(clock_reading clock) {
+    if (clock.now < next_maintenance_) {
+        return;
+    }
+    next_maintenance_ = clock.now + maintenance_interval;
+    release_expired_runs(clock.now);
+    for (auto& [id, upstream] : upstreams_) {
+        stop_stalled_runs(upstream, clock.now);
+        move_runs_from_leaving(upstream, clock.now);
+    }
+    const auto scheduled = scheduled_jobs_;
+    for (const auto& id : scheduled) {
+        if (auto* job = find_job(id)) {
+            open_due_occurrences(*job, clock);
+            update_waiting(*job);
+        }
+    }
+}
+
 void cell_scheduler::release_expired_runs(time_point now) {
     std::vector<upstream_id> removed;
     for (auto& [id, upstream] : upstreams_) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -331,6 +331,8 @@
                                         const best_effort_use& best_effort_task) const;
 
     // Upkeep of runs and orders (cell_runs.cpp)
+    // Does the work that is due at an interval and not with each decision.
+    void maintain_runs(clock_reading clock);
     void release_expired_runs(time_point now);
     void repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
                        std::vector<upstream_order>& orders);
--- a/tests/link_pacer_test.cpp
+++ b/tests/link_pacer_test.cpp
@@ -9,14 +9,14 @@
 
 namespace {
 
-constexpr std::size_t any_number = 256;
+constexpr std::size_t max_starts = jacinthvane::link_pacer::max_starts_in_flight;
 constexpr std::size_t start_bytes = 1600;
 constexpr std::size_t poll_bytes = 1200;
 
 // Starts as many tasks as the pacer allows and returns their number.
 std::size_t fill_link(link_pacer& pacer) {
     std::size_t starts = 0;
-    while (pacer.get_free_starts(any_number) > 0) {
+    while (pacer.get_free_starts() > 0) {
         pacer.begin_start(start_bytes);
         ++starts;
     }
@@ -34,19 +34,19 @@
     constexpr std::size_t max_queue_ms = 200;
     jacinthvane::link_pacer pacer(2);
     fill_link(pacer);
-    BOOST_TEST(pacer.is_link_narrow(any_number));
+    BOOST_TEST(pacer.is_link_narrow());
     BOOST_TEST(pacer.get_bytes_in_flight() <= bytes_per_ms * max_queue_ms);
     BOOST_TEST(pacer.get_bytes_in_flight() > 0U);
     pacer.end_start(start_bytes);
-    BOOST_TEST(pacer.get_free_starts(any_number) == 1U);
+    BOOST_TEST(pacer.get_free_starts() == 1U);
 }
 
 // Guards against a bound that a fast link, or one of unknown rate, does not need.
 BOOST_AUTO_TEST_CASE(a_fast_link_carries_all_start_orders) {
     for (const std::int64_t link_mbps : {0, 200, 1000}) {
         jacinthvane::link_pacer pacer(link_mbps);
-        BOOST_TEST(fill_link(pacer) == any_number);
-        BOOST_TEST(!pacer.is_link_narrow(any_number));
+        BOOST_TEST(fill_link(pacer) == max_starts);
+        BOOST_TEST(!pacer.is_link_narrow());
     }
 }
 
@@ -77,10 +77,10 @@
     jacinthvane::link_pacer pacer(0);
     pacer.set_response_time(milliseconds(1000));
     const auto starts = fill_link(pacer);
-    BOOST_TEST(starts <= any_number / 2);
+    BOOST_TEST(starts <= max_starts / 2);
     BOOST_TEST(starts > 0U);
     pacer.set_response_time(milliseconds(30));
-    BOOST_TEST(starts + fill_link(pacer) == any_number);
+    BOOST_TEST(starts + fill_link(pacer) == max_starts);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
