Pause polls only while they exceed their share of the link

Cause: the pause was computed as if each upstream was polled as often as the pause allows, so 490 upstreams were polled 80 ms apart on a link of 200 Mbit/s that carries far more. Starts were reduced from a median of 250 ms on, which a busy processor reaches without a queue on the link; now from 500 ms. Change: each poll takes its time on the share of the link, and the pause is how far that runs ahead.

--- a/src/process/link_pacer.cpp
+++ b/src/process/link_pacer.cpp
@@ -22,26 +22,29 @@
 constexpr milliseconds max_poll_pause{1800};
 
 // Slower responses show a queue that more calls would only lengthen.
-constexpr milliseconds long_response_time{250};
+constexpr milliseconds long_response_time{500};
 constexpr double max_slowdown = 4;
 
-void add_to_average(double& average, double value) {
-    average = average > 0 ? average + (value - average) * average_rate : value;
-}
-
 }  // namespace
 
 link_pacer::link_pacer(std::int64_t link_mbps)
     : bytes_per_second_(std::max<std::int64_t>(link_mbps, 0) * bytes_per_megabit) {}
 
-void link_pacer::add_poll(std::size_t sent_bytes, std::size_t received_bytes) {
-    add_to_average(poll_bytes_, static_cast<double>(std::max(sent_bytes, received_bytes)));
+void link_pacer::add_poll(time_point now, std::size_t sent_bytes, std::size_t received_bytes) {
+    if (bytes_per_second_ == 0) {
+        return;
+    }
+    const auto bytes = static_cast<double>(std::max(sent_bytes, received_bytes)) * get_slowdown();
+    const std::chrono::duration<double> time(bytes / (static_cast<double>(bytes_per_second_) * poll_share));
+    polls_carried_at_ =
+        std::max(polls_carried_at_, now) + std::chrono::duration_cast<time_point::duration>(time);
 }
 
 void link_pacer::begin_start(std::size_t bytes) {
     ++starts_in_flight_;
     bytes_in_flight_ += bytes;
-    add_to_average(start_bytes_, static_cast<double>(bytes));
+    const auto size = static_cast<double>(bytes);
+    start_bytes_ = start_bytes_ > 0 ? start_bytes_ + (size - start_bytes_) * average_rate : size;
 }
 
 void link_pacer::end_start(std::size_t bytes) {
@@ -72,14 +75,9 @@
     return limit - std::min(limit, starts_in_flight_);
 }
 
-milliseconds link_pacer::get_poll_pause(std::size_t upstreams) const {
-    if (bytes_per_second_ == 0) {
-        return milliseconds(0);
-    }
-    const auto bytes = static_cast<double>(upstreams) * poll_bytes_;
-    const auto pause =
-        bytes / (static_cast<double>(bytes_per_second_) * poll_share) * 1000.0 * get_slowdown();
-    return std::min(milliseconds(static_cast<std::int64_t>(pause)), max_poll_pause);
+milliseconds link_pacer::get_poll_pause(time_point now) const {
+    const auto excess = std::chrono::duration_cast<milliseconds>(polls_carried_at_ - now);
+    return std::clamp(excess, milliseconds(0), max_poll_pause);
 }
 
 }  // namespace jacinthvane
--- a/src/process/link_pacer.hpp
+++ b/src/process/link_pacer.hpp
@@ -4,6 +4,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "process/clock.hpp"
+
 namespace jacinthvane {
 
 // Keeps the calls of an owner within what the link of its VM carries. Polls renew leases, so they come first:
@@ -20,8 +22,9 @@
     // A rate of 0 is unknown.
     explicit link_pacer(std::int64_t link_mbps);
 
-    // A poll was answered: bytes sent and received for it.
-    void add_poll(std::size_t sent_bytes, std::size_t received_bytes);
+    // A poll was answered now: bytes sent and received for it. It counts by its heavier direction, since the
+    // directions of a link are separate.
+    void add_poll(time_point now, std::size_t sent_bytes, std::size_t received_bytes);
     // A start order was sent, and its call ended.
     void begin_start(std::size_t bytes);
     void end_start(std::size_t bytes);
@@ -33,9 +36,9 @@
     std::size_t get_free_starts() const;
     // Whether the rate of the link bounds the start orders in flight, and not max_starts_in_flight.
     bool is_link_narrow() const;
-    // Returns the least time from the start of a poll of an upstream to the start of its next one, if this
-    // many upstreams are polled.
-    std::chrono::milliseconds get_poll_pause(std::size_t upstreams) const;
+    // Returns the least time from the start of a poll of an upstream to the start of its next one. It is zero
+    // while polls take less than their share of the link, and grows while they take more.
+    std::chrono::milliseconds get_poll_pause(time_point now) const;
     std::size_t get_bytes_in_flight() const { return bytes_in_flight_; }
 
     bool operator==(const link_pacer&) const = default;
@@ -49,9 +52,10 @@
     std::int64_t bytes_per_second_ = 0;
     std::size_t starts_in_flight_ = 0;
     std::size_t bytes_in_flight_ = 0;
-    // Moving averages. A poll counts by its heavier direction, since the directions of a link are separate.
-    double poll_bytes_ = 0;
+    // Moving average.
     double start_bytes_ = 0;
+    // When the share of the link for polls will have carried all polls so far.
+    time_point polls_carried_at_;
     std::chrono::milliseconds response_time_{0};
 };
 
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -188,7 +188,7 @@
 }
 
 milliseconds cell_owner::get_poll_pause() const {
-    return std::max(pacer_.get_pause(), link_.get_poll_pause(polled_upstreams_.size()));
+    return std::max(pacer_.get_pause(), link_.get_poll_pause(std::chrono::steady_clock::now()));
 }
 
 awaitable<void> cell_owner::poll_upstream(upstream_id id) {
@@ -237,7 +237,7 @@
             is_ok = response.result == order_result::accepted;
             load_.add_poll(clock.now - started_at);
             if (is_ok) {
-                link_.add_poll(estimate_bytes(order), estimate_bytes(response.report));
+                link_.add_poll(clock.now, estimate_bytes(order), estimate_bytes(response.report));
                 scheduler_.apply_report(id, response.report, clock);
             } else if (response.result == order_result::refused_other_incarnation) {
                 scheduler_.end_incarnation(id, clock.now);
