review: tasks that were under two crashes of upstreams wait without bound (case 3)

Cause: a task with two crashes starts only on an upstream without any other young run, and each crash is counted for every young run on the upstream. After two crashes of busy upstreams dozens of tasks have to run one at a time, and with other jobs starting there is no such upstream for more than a minute.

The case of the short deadline is case 4 now. Nothing is fixed.

--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <cstdio>
 #include <fstream>
-#include <map>
 #include <optional>
 #include <set>
 #include <sstream>
@@ -22,7 +21,7 @@
 
 using std::chrono::milliseconds;
 
-// One line of the record, written by a worker.
+// One line of the record about a worker: a start or an end of a run, or its crash.
 struct worker_event {
     std::int64_t at_ms = 0;
     std::string what;
@@ -43,6 +42,9 @@
         if (event.what == "start" || event.what == "end") {
             words >> event.worker >> event.task >> event.run >> event.how;
             events.push_back(event);
+        } else if (event.what == "kill") {
+            words >> event.worker;
+            events.push_back(event);
         }
     }
     return events;
@@ -59,11 +61,13 @@
     return text.data();
 }
 
-// A submission of one step with tasks that work so long.
-std::string make_body(int tasks, int work_ms) {
+// A submission of one step with tasks that work so long on one core each, on any worker or on those of one
+// kind.
+std::string make_body(int tasks, int work_ms, const std::string& kind = "") {
     return "{\"Spec\":\"work=" + std::to_string(work_ms) +
            "\",\"Steps\":[{\"Count\":" + std::to_string(tasks) +
-           ",\"Cpu\":1800,\"MemMb\":3200,\"EstMs\":" + std::to_string(work_ms) + "}]}";
+           ",\"Cpu\":200,\"MemMb\":400,\"EstMs\":" + std::to_string(work_ms) +
+           (kind.empty() ? std::string() : ",\"RequiredLabel\":\"" + kind + "\"") + "}]}";
 }
 
 void sleep_ms(std::int64_t time_ms) {
@@ -292,6 +296,90 @@
     return states[0] == "done" && states[1] == "running" ? rule_held : could_not_run;
 }
 
+// Returns whether the run that began with this event went on at the given time or later.
+bool is_run_at(const std::vector<worker_event>& events, const worker_event& start, std::int64_t time_ms) {
+    return std::none_of(events.begin(), events.end(), [&](const worker_event& event) {
+        const bool is_end = event.what == "end" && event.task == start.task && event.run == start.run;
+        const bool is_crash =
+            event.what == "kill" && event.worker == start.worker && event.at_ms >= start.at_ms;
+        return (is_end || is_crash) && event.at_ms < time_ms;
+    });
+}
+
+// Returns whether a task of the submission ran at the given time or later.
+bool has_run_since(const std::vector<worker_event>& events, const std::string& id, std::int64_t since_ms) {
+    return std::any_of(events.begin(), events.end(), [&](const worker_event& event) {
+        return event.what == "start" && is_task_of(event, id) && is_run_at(events, event, since_ms);
+    });
+}
+
+// Two workers crash, one after the other, while they run many tasks.
+int run_starved_tasks(const case_options& options) {
+    constexpr std::int64_t traffic_ms = 10000;
+    constexpr std::int64_t traffic_pause_ms = 250;
+    constexpr int work_ms = 4000;
+    constexpr std::int64_t crash_after_ms = 6000;
+    constexpr std::int64_t down_ms = 1000;
+    constexpr std::int64_t up_between_ms = 500;
+    constexpr std::int64_t finish_ms = 14000;
+    constexpr std::int64_t idle_limit_ms = 3000;
+    // Whatever is submitted here has to run on workers of this kind, which are the first two of eight.
+    const std::string kind = "b";
+    fleet_plan plan;
+    plan.workers = 8;
+    plan.workers_of_kind_b = 2;
+    fleet played(options.folder, options.program, plan);
+    if (!played.start()) {
+        record("an entry process did not become ready");
+        return could_not_run;
+    }
+    std::vector<std::string> accepted;
+    std::thread traffic([&] {
+        const auto end = read_clock_ms() + traffic_ms;
+        for (std::uint64_t number = 1; read_clock_ms() < end; ++number) {
+            const auto id = make_id(number);
+            if (played.submit(id, make_body(3, work_ms, kind))) {
+                accepted.push_back(id);
+            }
+            sleep_ms(traffic_pause_ms);
+        }
+    });
+    sleep_ms(crash_after_ms);
+    for (const auto* worker : {"w1", "w2"}) {
+        if (options.has_trouble) {
+            played.kill_worker(worker);
+            sleep_ms(down_ms);
+            played.start_worker(worker);
+            sleep_ms(up_between_ms);
+        }
+    }
+    traffic.join();
+    sleep_ms(finish_ms + idle_limit_ms);
+    const auto events = read_events(options);
+    const auto idle_since = read_clock_ms() - idle_limit_ms;
+    std::size_t open = 0;
+    std::size_t idle = 0;
+    for (const auto& id : accepted) {
+        if (played.get_state(id) == "done") {
+            continue;
+        }
+        ++open;
+        idle += has_run_since(events, id, idle_since) ? 0 : 1;
+    }
+    const auto count = [&](const char* what) {
+        return std::count_if(events.begin(), events.end(), [&](const worker_event& event) {
+            return event.what == what && event.at_ms >= idle_since - finish_ms;
+        });
+    };
+    record("17 s after the end of the traffic: accepted " + std::to_string(accepted.size()) + ", not done " +
+           std::to_string(open) + ", of these without a run in the last 3 s " + std::to_string(idle) +
+           "; starts in the last 17 s, on 8 workers: " + std::to_string(count("start")));
+    if (accepted.empty()) {
+        return could_not_run;
+    }
+    return idle == 0 ? rule_held : rule_broken;
+}
+
 // A client has only a moment left for its last attempt, and says so.
 int run_short_deadline(const case_options& options) {
     constexpr int submissions = 20;
@@ -348,6 +436,7 @@
     static const std::vector<std::pair<std::string, case_function>> cases = {
         {"takeover", run_takeover_after_hours},
         {"crash", run_crashing_workers},
+        {"starve", run_starved_tasks},
         {"deadline", run_short_deadline},
         {"leak", measure_leak},
     };
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -228,6 +228,7 @@
     for (int i = 0; i < plan_.workers; ++i) {
         process worker;
         worker.name = "w" + std::to_string(i + 1);
+        worker.kind = i < plan_.workers_of_kind_b ? "b" : "a";
         worker.front = find_ports(1);
         workers_.push_back(worker);
         start_worker(worker.name);
@@ -281,7 +282,7 @@
     auto& worker = find_worker(id);
     const auto self = std::string("/proc/") + std::to_string(::getpid()) + "/exe";
     worker.pid = spawn({self, "worker", id, std::to_string(worker.front), std::to_string(store_port_),
-                        folder_ + "/record.txt"},
+                        worker.kind, folder_ + "/record.txt"},
                        "", folder_ + "/" + id + ".log");
     record("run " + id);
 }
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -14,6 +15,8 @@
 struct fleet_plan {
     int entries = 3;
     int workers = 3;
+    // So many of them, the first ones, are of kind "b"; the others are of kind "a".
+    int workers_of_kind_b = 0;
     // Changes of single values under "Bounds" of the settings file, as JSON.
     std::string bounds = "{}";
 };
@@ -51,6 +54,7 @@
 private:
     struct process {
         std::string name;
+        std::string kind;
         pid_t pid = 0;
         int front = 0;
         int ready = 0;
@@ -73,7 +77,7 @@
     int store_port_ = 0;
     std::vector<process> entries_;
     std::vector<process> workers_;
-    std::size_t next_entry_ = 0;
+    std::atomic<std::size_t> next_entry_ = 0;
 };
 
 }  // namespace review
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -32,18 +32,19 @@
 
 }  // namespace
 
-// review_standin worker ID PORT STORE_PORT RECORD
+// review_standin worker ID PORT STORE_PORT KIND RECORD
 // review_standin CASE FOLDER PROGRAM TROUBLE
 int main(int argc, char** argv) {
     const std::vector<std::string> words(argv + 1, argv + argc);
     end_with_parent();
-    if (words.size() == 5 && words[0] == "worker") {
+    if (words.size() == 6 && words[0] == "worker") {
         review::worker_settings settings;
         settings.id = words[1];
         settings.port = std::stoi(words[2]);
         settings.store_port = std::stoi(words[3]);
+        settings.kind = words[4];
         settings.rack = "r1";
-        review::open_record(words[4]);
+        review::open_record(words[5]);
         review::run_worker(settings);
     }
     if (words.size() != 4) {
--- a/review/standin/worker.cpp
+++ b/review/standin/worker.cpp
@@ -221,7 +221,7 @@
                             {"State", "ready"},
                             {"ColdLeftMs", 0},
                             {"Capacity", {{"Cpu", 16000}, {"MemMb", 64000}, {"Gpus", 0}}},
-                            {"Labels", {"a", settings_.rack}},
+                            {"Labels", {settings_.kind, settings_.rack}},
                             {"ClockMs", read_own_clock()},
                             {"born", born_unix_ms_},
                             {"Seq", 1}};
--- a/review/standin/worker.hpp
+++ b/review/standin/worker.hpp
@@ -9,6 +9,8 @@
     std::string id;
     int port = 0;
     int store_port = 0;
+    // Its labels.
+    std::string kind;
     std::string rack;
     std::int64_t max_hold_ms = 6000;
     std::int64_t stop_timeout_ms = 200;
