--- a/review/standin/http.hpp
+++ b/review/standin/http.hpp
@@ -28,8 +28,10 @@
 void serve(int port, handler handle);
 
 // Sends one request on a connection of its own. Nothing is returned if no complete response came in time.
+// With is_exact the time runs from the sending of the request on the open connection to the last byte of the
+// response.
 std::optional<response> call(int port, const std::string& method, const std::string& target,
                              const std::map<std::string, std::string>& headers, const std::string& body,
-                             std::chrono::milliseconds timeout);
+                             std::chrono::milliseconds timeout, bool is_exact = false);
 
 }  // namespace review
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -26,7 +26,8 @@
         while (::getppid() == parent) {
             std::this_thread::sleep_for(std::chrono::milliseconds(200));
         }
-        std::_Exit(0);
+        review::fleet::kill_all_processes();
+        std::_Exit(review::could_not_run);
     }).detach();
 }
 
