Keep a run whose start order may have reached the next incarnation of its upstream

Cause: begin_incarnation took every run of the ledger for one of the previous incarnation, released it and queued its task. A start order that was on its way reached the new incarnation, which has the same id and carried it out.

Ruled out: reordering within one incarnation (no pair without a restart), run numbers (the new incarnation has seen none), Target-Instance (both have the id).

Change: a run is released at a restart only if it cannot be in the new incarnation. Otherwise a report to a poll made after the acceptance, the response, or a stop order decides. Orders carry the incarnation they were decided for. The same fault on related paths: restarts learned from the list, inherited tasks after a takeover, stop orders.

Why it holds at any size: nothing depends on times; each kept run is resolved by the next report of its upstream, or by the end of the longest lease.

--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -15,6 +15,17 @@
 
 }  // namespace
 
+void run_record::expect_in_next_incarnation() {
+    is_incarnation_unknown = true;
+    is_listed = false;
+    seen_clock_ms = 0;
+    stopped_clock_ms = 0;
+    absent_clock_ms = 0;
+    percent = -1;
+    percent_changed_clock_ms = 0;
+    cpu_limit_percent = unknown_cpu_limit_percent;
+}
+
 std::int64_t upstream_ledger::estimate_clock_ms(time_point now) const {
     return clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_read_at).count();
 }
@@ -29,6 +40,11 @@
     }));
 }
 
+bool upstream_ledger::has_unknown_incarnations() const {
+    return std::any_of(runs.begin(), runs.end(),
+                       [](const auto& entry) { return entry.second.is_incarnation_unknown; });
+}
+
 std::int64_t upstream_ledger::estimate_used_milli() const {
     std::int64_t used = 0;
     for (const auto& [key, run] : runs) {
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -44,8 +44,19 @@
     std::int64_t target_tail_ms = 0;
     // An order for the run was sent and has no response yet.
     bool is_order_sent = false;
+    // A start order was sent and has no response yet, whatever the phase is now.
+    bool is_start_in_flight = false;
     // A start order got no response, so it may still take effect later.
     bool has_unknown_start = false;
+    // A report of the current incarnation of the upstream has listed the run.
+    bool is_listed = false;
+    // The upstream has restarted, and it is not known yet which incarnation received the start order.
+    bool is_incarnation_unknown = false;
+    // Runs that may have caused the crash of the previous incarnation, if the incarnation is unknown. If this
+    // run turns out not to be in the new one, it was one of them.
+    std::size_t crash_suspects = 0;
+    // When the response that accepted the start order arrived.
+    time_point accepted_at;
     // Start orders whose missing responses say something about the upstream.
     std::uint32_t failed_orders = 0;
     // Orders of the current phase that were sent again.
@@ -74,6 +85,14 @@
     time_point slow_since = time_point::max();
     // Earliest time of the next search for a better upstream.
     time_point next_move_check;
+
+    // Whether the next incarnation of the upstream may have received the start order. One that this
+    // incarnation has listed belongs to it, unless the order was sent again.
+    bool may_be_in_next_incarnation() const {
+        return is_start_in_flight || has_unknown_start || (phase != run_phase::starting && !is_listed);
+    }
+    // Forgets what the previous incarnation reported about the run, and its clock.
+    void expect_in_next_incarnation();
 };
 
 // A best-effort task that has ended, and the processors that it used.
@@ -97,12 +116,16 @@
     bool is_recorded = false;
     // The upstream has responded to this owner in its current incarnation.
     bool has_responded = false;
+    // An earlier owner may have started runs there that no report has listed yet.
+    bool may_have_inherited_runs = false;
     // The last poll got no response.
     bool is_unresponsive = false;
     // Polls in a row that were sent after the leases had expired and returned no list.
     std::uint32_t failed_polls_after_expiry = 0;
     // Earliest time at which a leaving upstream may be removed.
     time_point leaves_at;
+    // When the last poll was made. Its report lists all that the upstream had accepted by then.
+    time_point polled_at;
     // Reading of the upstream's clock, and when the response with it arrived.
     std::int64_t clock_ms = 0;
     time_point clock_read_at;
@@ -144,6 +167,13 @@
     bool is_unproven(const run_record& run) const;
     // Returns the unproven runs of tasks under which at least this many upstreams have crashed before.
     std::size_t count_unproven_runs(std::uint32_t min_earlier_crashes) const;
+    // Whether the run was accepted by an earlier incarnation: the report to the last poll, of the current
+    // one, does not list it, although it was accepted before that poll.
+    bool is_of_earlier_incarnation(const run_record& run) const {
+        return run.is_incarnation_unknown && !run.is_start_in_flight && !run.has_unknown_start &&
+               run.accepted_at < polled_at;
+    }
+    bool has_unknown_incarnations() const;
     resource_vector get_room() const { return entry.capacity - committed; }
     // Estimates the current reading of the upstream's clock, assuming that it runs as fast as the clock of
     // this process.
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -19,6 +19,8 @@
     std::string ticket;
     // End of the lease for all runs on the upstream, on the upstream's clock.
     std::int64_t lease_until_clock_ms = 0;
+    // Incarnation that the order was decided for. It is not sent: another one may carry out the order.
+    std::int64_t boot_unix_ms = 0;
 
     bool operator==(const start_order&) const = default;
 };
@@ -28,6 +30,8 @@
     upstream_id upstream;
     task_ref task;
     std::uint64_t run = 0;
+    // As in start_order.
+    std::int64_t boot_unix_ms = 0;
 
     bool operator==(const stop_order&) const = default;
 };
--- a/src/version/cell_crashes.cpp
+++ b/src/version/cell_crashes.cpp
@@ -35,30 +35,49 @@
             suspects.push_back(key);
         }
     }
-    for (const auto& [ref, run] : suspects) {
-        auto* job = find_job(ref.job);
-        auto* task = job == nullptr ? nullptr : job->find_task(ref);
-        if (task == nullptr || is_final(job->pending_end) || task->phase == task_phase::done) {
-            continue;
-        }
-        auto& runs = task->crashed_runs;
-        const auto position = std::lower_bound(runs.begin(), runs.end(), run);
-        if (position != runs.end() && *position == run) {
-            continue;
-        }
-        runs.insert(position, run);
-        dirty_jobs_.insert(job->id);
-        const bool is_alone = suspects.size() == 1;
-        const bool is_given_up = runs.size() >= (is_alone ? crashes_to_give_up_alone : crashes_to_give_up);
-        LOG(INFO) << "event=upstream_crashed upstream=" << upstream.entry.id.get()
-                  << " task=" << ref.to_string() << "/" << run << " crashes=" << runs.size()
-                  << " suspects=" << suspects.size() << " given_up=" << is_given_up << " token=" << token_;
-        if (is_given_up) {
-            end_job(*job, job_phase::failed, now);
+    for (const auto& key : suspects) {
+        auto& run = *upstream.find_run(key.first, key.second);
+        if (run.is_incarnation_unknown) {
+            run.crash_suspects = std::max(run.crash_suspects, suspects.size());
+        } else {
+            count_crash(upstream, key, suspects.size(), now);
         }
     }
 }
 
+void cell_scheduler::count_crash_of_earlier_incarnation(upstream_ledger& upstream, const run_key& key,
+                                                        time_point now) {
+    const auto* run = upstream.find_run(key.first, key.second);
+    if (run->is_incarnation_unknown && run->crash_suspects > 0) {
+        count_crash(upstream, key, run->crash_suspects, now);
+    }
+}
+
+void cell_scheduler::count_crash(const upstream_ledger& upstream, const run_key& key, std::size_t suspects,
+                                 time_point now) {
+    const auto& [ref, run] = key;
+    auto* job = find_job(ref.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(ref);
+    if (task == nullptr || is_final(job->pending_end) || task->phase == task_phase::done) {
+        return;
+    }
+    auto& runs = task->crashed_runs;
+    const auto position = std::lower_bound(runs.begin(), runs.end(), run);
+    if (position != runs.end() && *position == run) {
+        return;
+    }
+    runs.insert(position, run);
+    dirty_jobs_.insert(job->id);
+    const bool is_alone = suspects == 1;
+    const bool is_given_up = runs.size() >= (is_alone ? crashes_to_give_up_alone : crashes_to_give_up);
+    LOG(INFO) << "event=upstream_crashed upstream=" << upstream.entry.id.get() << " task=" << ref.to_string()
+              << "/" << run << " crashes=" << runs.size() << " suspects=" << suspects
+              << " given_up=" << is_given_up << " token=" << token_;
+    if (is_given_up) {
+        end_job(*job, job_phase::failed, now);
+    }
+}
+
 void cell_scheduler::clear_proven_runs(upstream_ledger& upstream) {
     if (upstream.suspect_runs == 0) {
         return;
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -54,13 +54,17 @@
         return false;
     }
     const auto run = found->second.runs.find({order.task, order.run});
-    return run != found->second.runs.end() && run->second.phase == run_phase::starting;
+    return run != found->second.runs.end() && run->second.phase == run_phase::starting &&
+           order.boot_unix_ms == found->second.boot_unix_ms;
 }
 
 void cell_scheduler::begin_stop(run_record& run, time_point now) {
-    if (run.phase == run_phase::stopping) {
-        return;
+    if (run.phase != run_phase::stopping) {
+        restart_stop(run, now);
     }
+}
+
+void cell_scheduler::restart_stop(run_record& run, time_point now) {
     run.phase = run_phase::stopping;
     run.is_order_sent = false;
     run.failed_orders = 0;
@@ -75,17 +79,26 @@
     if (run == nullptr) {
         return;
     }
+    auto& upstream = found->second;
+    run->is_start_in_flight = false;
+    if (response.result == order_result::accepted) {
+        run->accepted_at = now;
+    }
+    if (run->is_incarnation_unknown) {
+        extend_leases(upstream, now);
+    }
     if (run->phase == run_phase::stopping) {
         run->has_unknown_start = run->has_unknown_start || response.result == order_result::unknown;
         return;
     }
     run->is_order_sent = false;
-    auto& upstream = found->second;
     switch (response.result) {
         case order_result::accepted:
-            run->seen_clock_ms = std::max(run->seen_clock_ms, response.clock_ms);
             run->phase = run_phase::running;
-            run->percent_changed_clock_ms = std::max(run->percent_changed_clock_ms, response.clock_ms);
+            if (order.boot_unix_ms == upstream.boot_unix_ms) {
+                run->seen_clock_ms = std::max(run->seen_clock_ms, response.clock_ms);
+                run->percent_changed_clock_ms = std::max(run->percent_changed_clock_ms, response.clock_ms);
+            }
             if (run->best_effort_milli > 0) {
                 update_cpu_limits(upstream, now);
             }
@@ -94,7 +107,9 @@
             run->has_unknown_start = true;
             run->failed_orders += response.is_conclusive ? 1 : 0;
             run->next_order = now + get_repeat_delay(run->repeated_orders++);
-            if (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive) {
+            // In an incarnation that the order was not decided for, the run is stopped and started anew.
+            if (run->is_incarnation_unknown ||
+                (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive)) {
                 begin_stop(*run, now);
             }
             return;
@@ -136,6 +151,11 @@
         end_incarnation(order.upstream, now);
         return;
     }
+    if (order.boot_unix_ms != found->second.boot_unix_ms) {
+        // Another incarnation may have received it, and the clock in the response may be that one's.
+        run->next_order = now;
+        return;
+    }
     if (response.result == order_result::accepted || response.result == order_result::refused_outdated) {
         run->stopped_clock_ms = std::max(run->stopped_clock_ms, response.clock_ms);
         // Sent again only if no report lists the end of the run by then.
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -409,6 +409,7 @@
     record.image = tail_model_.get_index(spec.image);
     record.cpu_limit_changed_at = now;
     record.is_order_sent = true;
+    record.is_start_in_flight = true;
     record.started_at = now;
     chosen.upstream->add_run(ref, run, record);
     best_effort_views_.erase(chosen.upstream);
@@ -427,6 +428,7 @@
     order.checkpoint = found.checkpoint;
     order.ticket = ticket;
     order.lease_until_clock_ms = grant_lease(upstream, now);
+    order.boot_unix_ms = upstream.boot_unix_ms;
     return order;
 }
 
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t empty_poll_wait_ms = 2000;
 // Allowed in addition to the stop timeout before an absent run is released.
 constexpr std::int64_t stop_margin_ms = 100;
+// While it is unknown which incarnation received a start order, the next report is requested soon.
+constexpr std::int64_t unknown_incarnation_poll_wait_ms = 50;
 // Upstreams with latency-critical tasks or runs that are being stopped report at least this often, since CPU
 // limits follow the reported latency.
 constexpr std::int64_t short_poll_wait_ms = 500;
@@ -32,15 +34,37 @@
     return std::min(failure_delay * (1U << std::min(failures, 6U)), max_failure_delay);
 }
 
+const char* get_source_name(incarnation_source source) {
+    switch (source) {
+        case incarnation_source::report:
+            return "report";
+        case incarnation_source::listing:
+            return "listing";
+        case incarnation_source::refusal:
+            return "refusal";
+    }
+    return "unknown";
+}
+
 }  // namespace
 
+std::chrono::milliseconds cell_scheduler::get_longest_lease() const {
+    const std::chrono::milliseconds on_this_clock =
+        limits_.max_lease * 1000 / (1000 - limits_.clock_drift_permille);
+    return on_this_clock + lease_rounding_margin;
+}
+
+time_point cell_scheduler::get_inherited_leases_end() const {
+    return owner_since_ + limits_.proof_window + get_longest_lease();
+}
+
 void cell_scheduler::expect_upstream(const upstream_entry& entry) {
     auto& upstream = upstreams_[entry.id];
     upstream.entry = entry;
     upstream.boot_unix_ms = entry.boot_unix_ms;
     upstream.is_recorded = true;
-    const auto longest_lease = limits_.max_lease * 1000 / (1000 - limits_.clock_drift_permille);
-    upstream.leases_expire_at = owner_since_ + limits_.proof_window + longest_lease + lease_rounding_margin;
+    upstream.may_have_inherited_runs = true;
+    upstream.leases_expire_at = get_inherited_leases_end();
 }
 
 void cell_scheduler::list_upstream(const upstream_entry& entry, time_point now) {
@@ -58,7 +82,7 @@
     auto& upstream = found->second;
     upstream.is_listed = true;
     if (entry.boot_unix_ms > upstream.boot_unix_ms && upstream.boot_unix_ms != 0) {
-        begin_incarnation(upstream, entry.boot_unix_ms, now);
+        begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, now);
     }
     if (entry.is_leaving && !upstream.entry.is_leaving) {
         upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
@@ -85,24 +109,68 @@
     }
 }
 
-void cell_scheduler::begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, time_point now) {
+void cell_scheduler::begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms,
+                                       incarnation_source source, time_point now) {
+    std::vector<run_key> ended;
+    for (auto& [key, run] : upstream.runs) {
+        // Where another upstream has responded at the address, only an order that is still in flight may
+        // reach a later incarnation of this one.
+        const bool is_kept =
+            source == incarnation_source::refusal ? run.is_start_in_flight : run.may_be_in_next_incarnation();
+        if (is_kept) {
+            run.expect_in_next_incarnation();
+        } else {
+            ended.push_back(key);
+        }
+    }
+    LOG(INFO) << "event=upstream_restarted upstream=" << upstream.entry.id.get() << " boot=" << boot_unix_ms
+              << " previous_boot=" << upstream.boot_unix_ms << " source=" << get_source_name(source)
+              << " runs_ended=" << ended.size() << " runs_unknown=" << upstream.runs.size() - ended.size()
+              << " token=" << token_;
     // An upstream that was leaving has shut down.
     if (!upstream.entry.is_leaving) {
         record_crash(upstream, now);
     }
-    while (!upstream.runs.empty()) {
-        release_run(upstream, upstream.runs.begin()->first, now);
+    for (const auto& key : ended) {
+        release_run(upstream, key, now);
+    }
+    for (auto& [key, run] : upstream.runs) {
+        const bool is_unknown_start = run.has_unknown_start && !run.is_start_in_flight;
+        if (run.phase == run_phase::stopping || is_unknown_start) {
+            // The new incarnation knows of no earlier stop order.
+            restart_stop(run, now);
+        }
     }
     upstream.boot_unix_ms = boot_unix_ms;
     upstream.entry.boot_unix_ms = boot_unix_ms;
     upstream.applied_end = 0;
     upstream.durable_end = 0;
     upstream.clock_ms = 0;
-    // Nothing of an earlier owner runs in the new incarnation.
-    upstream.leases_expire_at = now;
-    upstream.failed_polls_after_expiry = conclusive_failed_polls;
     upstream.has_responded = false;
     upstream.health = upstream_health();
+    expect_leases_of_incarnation(upstream, source, now);
+}
+
+void cell_scheduler::expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source,
+                                                  time_point now) {
+    upstream.leases_expire_at = now;
+    upstream.failed_polls_after_expiry = conclusive_failed_polls;
+    if (source == incarnation_source::listing && now < get_inherited_leases_end()) {
+        // An upstream forgets the fencing token when it restarts, so until it has received that of this
+        // owner, it carries out orders of the previous one.
+        upstream.may_have_inherited_runs = true;
+        upstream.leases_expire_at = get_inherited_leases_end();
+    } else {
+        upstream.may_have_inherited_runs = false;
+    }
+    if (upstream.has_unknown_incarnations()) {
+        extend_leases(upstream, now);
+    }
+}
+
+void cell_scheduler::extend_leases(upstream_ledger& upstream, time_point now) {
+    upstream.leases_expire_at = std::max(upstream.leases_expire_at, now + get_longest_lease());
+    upstream.failed_polls_after_expiry = 0;
 }
 
 void cell_scheduler::end_incarnation(const upstream_id& id, time_point now) {
@@ -110,7 +178,7 @@
     if (found == upstreams_.end()) {
         return;
     }
-    begin_incarnation(found->second, found->second.boot_unix_ms, now);
+    begin_incarnation(found->second, found->second.boot_unix_ms, incarnation_source::refusal, now);
     found->second.is_unresponsive = true;
 }
 
@@ -136,6 +204,7 @@
         return poll;
     }
     auto& upstream = found->second;
+    upstream.polled_at = now;
     // After a failed poll no lease is renewed: a renewal that does not arrive would only delay
     // leases_expire_at.
     const bool is_responsive = upstream.has_responded && !upstream.is_unresponsive;
@@ -153,9 +222,10 @@
         const bool has_target =
             std::any_of(upstream.runs.begin(), upstream.runs.end(),
                         [](const auto& entry) { return entry.second.target_tail_ms > 0; });
-        poll.wait_ms = has_target || is_stopping ? short_poll_wait_ms
-                       : upstream.runs.empty()   ? empty_poll_wait_ms
-                                                 : normal_poll_wait_ms;
+        poll.wait_ms = upstream.has_unknown_incarnations() ? unknown_incarnation_poll_wait_ms
+                       : has_target || is_stopping         ? short_poll_wait_ms
+                       : upstream.runs.empty()             ? empty_poll_wait_ms
+                                                           : normal_poll_wait_ms;
     }
     return poll;
 }
@@ -176,9 +246,10 @@
         if (report.boot_unix_ms < upstream.boot_unix_ms) {
             return;
         }
-        begin_incarnation(upstream, report.boot_unix_ms, now);
+        begin_incarnation(upstream, report.boot_unix_ms, incarnation_source::report, now);
     }
     upstream.is_unresponsive = false;
+    upstream.may_have_inherited_runs = false;
     upstream.failed_polls_after_expiry = 0;
     upstream.clock_ms = report.clock_ms;
     upstream.clock_read_at = now;
@@ -379,6 +450,8 @@
     }
     run->seen_clock_ms = clock_ms;
     run->has_unknown_start = false;
+    run->is_listed = true;
+    run->is_incarnation_unknown = false;
     if (run->phase == run_phase::starting) {
         run->phase = run_phase::running;
         run->percent_changed_clock_ms = clock_ms;
@@ -450,6 +523,10 @@
     const auto longest_stop = limits_.stop_timeout.count() + stop_margin_ms;
     std::vector<run_key> absent;
     for (auto& [key, run] : upstream.runs) {
+        if (!listed.contains(key) && upstream.is_of_earlier_incarnation(run)) {
+            absent.push_back(key);
+            continue;
+        }
         const bool was_there = run.seen_clock_ms > 0 && report.clock_ms > run.seen_clock_ms;
         const bool is_excluded = run.stopped_clock_ms > 0 && report.clock_ms > run.stopped_clock_ms;
         if (listed.contains(key) || !(was_there || is_excluded)) {
@@ -459,11 +536,12 @@
         if (run.absent_clock_ms == 0) {
             run.absent_clock_ms = report.clock_ms;
         }
-        if (report.clock_ms - run.absent_clock_ms > longest_stop) {
+        if (report.clock_ms - run.absent_clock_ms > longest_stop && !run.is_start_in_flight) {
             absent.push_back(key);
         }
     }
     for (const auto& key : absent) {
+        count_crash_of_earlier_incarnation(upstream, key, now);
         release_run(upstream, key, now);
     }
 }
@@ -472,7 +550,7 @@
 void cell_scheduler::release_run(upstream_ledger& upstream, run_key key, time_point now) {
     LOG(INFO) << "event=run_released task=" << key.first.to_string() << "/" << key.second
               << " upstream=" << upstream.entry.id.get() << " silent=" << upstream.is_unresponsive
-              << " token=" << token_;
+              << " boot=" << upstream.boot_unix_ms << " token=" << token_;
     upstream.remove_run(key.first, key.second);
     auto* job = find_job(key.first.job);
     auto* task = job == nullptr ? nullptr : job->find_task(key.first);
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -75,7 +75,7 @@
         }
         if (run.phase == run_phase::stopping) {
             run.is_order_sent = true;
-            orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second});
+            orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second, upstream.boot_unix_ms});
         } else if (run.phase == run_phase::starting && may_start && !upstream.is_unresponsive &&
                    starts_left_ > 0) {
             auto* job = find_job(key.first.job);
@@ -85,6 +85,7 @@
                 continue;
             }
             run.is_order_sent = true;
+            run.is_start_in_flight = true;
             --starts_left_;
             const auto tickets = tickets_.find(key.first.get_step());
             std::string ticket;
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -350,8 +350,8 @@
 }
 
 bool cell_scheduler::is_takeover_resolved(time_point now) const {
-    return std::all_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
-        return entry.second.has_responded || entry.second.is_lost(now);
+    return std::none_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+        return entry.second.may_have_inherited_runs && !entry.second.is_lost(now);
     });
 }
 
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -74,6 +74,12 @@
     bool operator==(const advice_request&) const = default;
 };
 
+// How the owner learned that an upstream has restarted:
+// - report: the new incarnation has responded to a poll, so it has received the fencing token of this owner.
+// - listing: the platform lists the new incarnation.
+// - refusal: another upstream has responded at its address.
+enum class incarnation_source { report, listing, refusal };
+
 // Messages that the owner sends as the result of one decision.
 struct cell_decisions {
     std::vector<upstream_order> orders;
@@ -266,8 +272,12 @@
     void count_waiting_tasks_by_kind(cell_summary& summary) const;
 
     // Crashes of upstreams (cell_crashes.cpp)
-    // Counts the crash against the tasks that may have caused it, and fails the jobs of those that have.
+    // Counts the crash against the tasks that may have caused it, and fails the jobs of those that have. A
+    // run that may be in the next incarnation is counted only when it turns out not to be there.
     void record_crash(upstream_ledger& upstream, time_point now);
+    void count_crash_of_earlier_incarnation(upstream_ledger& upstream, const run_key& key, time_point now);
+    void count_crash(const upstream_ledger& upstream, const run_key& key, std::size_t suspects,
+                     time_point now);
     // Forgets the crashes of tasks whose runs have survived long enough.
     void clear_proven_runs(upstream_ledger& upstream);
     // Whether the task may start on the upstream in view of the crashes under it and its possible neighbors.
@@ -275,7 +285,19 @@
     double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
 
     // Reports (cell_reports.cpp)
-    void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, time_point now);
+    // Releases the runs of the previous incarnation. A run whose start order may have reached the new one is
+    // kept until a report or a response shows where it is: its task would otherwise run twice.
+    void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, incarnation_source source,
+                           time_point now);
+    // Sets when the leases end that the new incarnation may hold already.
+    void expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source, time_point now);
+    // Allows for a lease that begins at this time. Its end on the clock of the previous incarnation does not
+    // bound it in the new one, where the longest lease does.
+    void extend_leases(upstream_ledger& upstream, time_point now);
+    // The longest lease, as measured by the clock of this process.
+    std::chrono::milliseconds get_longest_lease() const;
+    // When every lease that an earlier owner granted has ended.
+    time_point get_inherited_leases_end() const;
     void apply_end(upstream_ledger& upstream, const ended_row& row, time_point now);
     void apply_running(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
                        time_point now);
@@ -298,6 +320,8 @@
     void apply_start_response(const start_order& order, const order_response& response, time_point now);
     void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
     void begin_stop(run_record& run, time_point now);
+    // Sends the stop order again, also if it was sent before.
+    static void restart_stop(run_record& run, time_point now);
 
     // CPU limits of best-effort tasks that share an upstream with latency-critical tasks
     // (cell_cpu_limits.cpp)
