Report a passed deadline when there was no attempt to store a job

Cause: job_submission::submit returned a default status, which is success, when the deadline had passed before its first attempt. Deadline-Ms: 1 leaves no time; a process that is suspended before the attempt gets there with any deadline.

Evidence: two tests that fail on: cell_member/accepts_no_job_after_its_deadline: check get_error_kind(late) == error_kind::deadline_exceeded has failed front_handler/acknowledges_no_job_that_it_had_no_time_to_store: check ... == 504 has failed [200 != 504]

Ruled out: the margin that get_deadline keeps is right; with it a call of 1 ms has no time, and must not succeed.

Change: the status starts as deadline_exceeded (504, may have been accepted before). 503 would say that the job never runs, which an earlier attempt may contradict. All other statuses without a value were read; none has the fault.

--- a/src/request/job_submission.cpp
+++ b/src/request/job_submission.cpp
@@ -49,7 +49,10 @@
     transaction.conditions = {{make_job_key(id), 0}, {make_progress_key(id), 0}};
     transaction.writes = {{make_job_key(id), encode_record(job), 0}};
     bool is_unknown = false;
-    absl::Status last;
+    // Returned if there is no attempt: the job is not stored now, but an earlier submission may have stored
+    // it.
+    absl::Status last =
+        make_error(error_kind::deadline_exceeded, "the deadline passed before the job was sent to the store");
     constexpr int attempts = 2;
     for (int attempt = 0; attempt < attempts && std::chrono::steady_clock::now() < deadline; ++attempt) {
         const auto result = co_await store_.transact(transaction, get_deadline(write_timeout, deadline));
--- a/src/request/job_submission.hpp
+++ b/src/request/job_submission.hpp
@@ -26,7 +26,8 @@
                    metrics& counters);
 
     // Makes the job durable; repeated submissions create it only once. Errors: overloaded (refused, never
-    // runs), store_unavailable (refused, never runs), store_outcome_unknown (may be accepted).
+    // runs), store_unavailable (refused, never runs), store_outcome_unknown (may be accepted),
+    // deadline_exceeded (not sent to the store, but may have been accepted before).
     awaitable<absl::Status> submit(queue_rules rules, job_id id, job_spec spec, time_point deadline);
     // Errors: not_found, store_unavailable.
     awaitable<absl::StatusOr<job_phase>> get_state(std::string queue, job_id id, time_point deadline);
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -333,6 +333,29 @@
     });
 }
 
+// Guards against a job that is acknowledged and not stored: a process that had been suspended found the
+// deadline passed, made no attempt and returned success. It may have been accepted before, so the error must
+// not say that it never runs.
+BOOST_AUTO_TEST_CASE(accepts_no_job_after_its_deadline) {
+    cell_parts cell;
+    const auto member = cell.add_member("one");
+    job_submission jobs(cell.context, cell_store(cell.store), member, cell.counters);
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        const auto rules = make_rules();
+        const auto spec = make_spec(1);
+        const job_id id("00000000000000aa");
+        const auto late = co_await jobs.submit(rules, id, spec, after(seconds(-3)));
+        BOOST_TEST((get_error_kind(late) == error_kind::deadline_exceeded));
+        BOOST_TEST((get_run_knowledge(late) == run_knowledge::may_have_run));
+        const auto state = co_await jobs.get_state(queue, id, after(seconds(1)));
+        BOOST_TEST((get_error_kind(state.status()) == error_kind::not_found));
+        const auto repeat = co_await jobs.submit(rules, id, spec, after(seconds(1)));
+        BOOST_TEST(repeat.ok());
+        BOOST_TEST((co_await wait_for_end(jobs, id) == job_phase::done));
+    });
+}
+
 // Guards against jobs that are accepted although the owner has told that it cannot start them in time,
 // against refusals of jobs that were accepted before, and against a notice that outlives the overload.
 BOOST_AUTO_TEST_CASE(refuses_only_new_jobs_while_the_owner_is_overloaded) {
--- a/tests/front_handler_test.cpp
+++ b/tests/front_handler_test.cpp
@@ -50,11 +50,13 @@
     }
 
     // The views must refer to constants.
-    awaitable<int> get_status(std::string_view method, std::string_view path, std::string_view body) {
+    awaitable<int> get_status(std::string_view method, std::string_view path, std::string_view body,
+                              std::string_view deadline_ms = "3000") {
         http_request request;
         request.method = std::string(method);
         request.target = std::string(path);
         request.headers["Host"] = "host.example";
+        request.headers["Deadline-Ms"] = std::string(deadline_ms);
         request.body = std::string(body);
         const platform::front_handler handler(member, jobs);
         const auto response = co_await handler.handle(request);
@@ -107,4 +109,16 @@
     });
 }
 
+// Guards against a job that is acknowledged and not stored: the timeout of 1 ms left no time for an attempt.
+BOOST_AUTO_TEST_CASE(acknowledges_no_job_that_it_had_no_time_to_store) {
+    front_parts front;
+    run_coroutine(front.context, [&]() -> awaitable<void> {
+        co_await wait_until(after(milliseconds(500)));
+        BOOST_TEST(co_await front.get_status("POST", job_path, job_body, "1") == 504);
+        BOOST_TEST(co_await front.get_status("GET", job_path, "") == 410);
+        BOOST_TEST(co_await front.get_status("POST", job_path, job_body) == 200);
+        BOOST_TEST(co_await front.get_status("GET", job_path, "") == 200);
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
