Poll an upstream when a run that holds processors should end, also while the owner is late

Cause: an owner whose timers are late pauses for up to 900 ms between two polls of each upstream, whatever runs there. A task of 1 s held its processors for 1.37 s (median) until its end was read, a step of nine tasks for two seconds.

Ruled out: the order of jobs (first starts after 0.23 s); room (without processor time the same load waits for none).

Change: work_pacer::get_next_poll takes the expected end of the earliest run that holds processors, from its estimate and its progress, with at least 150 ms between two polls. Extra polls are bounded by the ends of such runs, so they grow with the starts and not with the fleet.

--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -12,9 +12,19 @@
 // A run that was seen on its upstream this long after its start does not crash it. A task that crashes
 // upstreams does so when it starts.
 constexpr std::chrono::milliseconds proof_time{5000};
+// Progress is reported in whole percent, so less of it says little about the speed of a run.
+constexpr std::int32_t min_conclusive_percent = 10;
 
 }  // namespace
 
+void run_record::update_expected_end(time_point now) {
+    const bool is_accepted = accepted_at != time_point();
+    if (expected_end == time_point::max() || !is_accepted || percent < min_conclusive_percent) {
+        return;
+    }
+    expected_end = accepted_at + (now - accepted_at) * 100 / percent;
+}
+
 void run_record::expect_in_next_incarnation() {
     is_incarnation_unknown = true;
     is_listed = false;
@@ -45,6 +55,14 @@
                        [](const auto& entry) { return entry.second.is_incarnation_unknown; });
 }
 
+time_point upstream_ledger::get_expected_end() const {
+    auto earliest = time_point::max();
+    for (const auto& [key, run] : runs) {
+        earliest = std::min(earliest, run.expected_end);
+    }
+    return earliest;
+}
+
 std::int64_t upstream_ledger::estimate_used_milli() const {
     std::int64_t used = 0;
     for (const auto& [key, run] : runs) {
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -40,6 +40,9 @@
     // upstream.
     bool is_size_unknown = false;
     bool is_long_running = false;
+    // When a run that holds processors will probably end, by its estimate or by its progress so far; max for
+    // all other runs.
+    time_point expected_end = time_point::max();
     // Tail latency that the task has to stay below; 0 means no target.
     std::int64_t target_tail_ms = 0;
     // An order for the run was sent and has no response yet.
@@ -91,6 +94,8 @@
     bool may_be_in_next_incarnation() const {
         return is_start_in_flight || has_unknown_start || (phase != run_phase::starting && !is_listed);
     }
+    // Derives the expected end from the progress that a report of this time shows.
+    void update_expected_end(time_point now);
     // Forgets what the previous incarnation reported about the run, and its clock.
     void expect_in_next_incarnation();
 };
@@ -174,6 +179,8 @@
                run.accepted_at < polled_at;
     }
     bool has_unknown_incarnations() const;
+    // The earliest expected end of a run.
+    time_point get_expected_end() const;
     resource_vector get_room() const { return entry.capacity - committed; }
     // Estimates the current reading of the upstream's clock, assuming that it runs as fast as the clock of
     // this process.
--- a/src/process/work_pacer.cpp
+++ b/src/process/work_pacer.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds max_pause{900};
 // An increase takes effect only after the calls in flight have ended.
 constexpr milliseconds increase_interval{300};
+// Least time between two polls of one upstream, of which the second is due to bring an end.
+constexpr milliseconds expected_end_pause{150};
 constexpr int growth_percent = 140;
 constexpr int decay_percent = 98;
 
@@ -31,4 +33,9 @@
     }
 }
 
+time_point work_pacer::get_next_poll(time_point last_poll, time_point expected_end) const {
+    const auto regular = last_poll + pause_;
+    return std::min(regular, std::max(last_poll + expected_end_pause, expected_end));
+}
+
 }  // namespace jacinthvane
--- a/src/process/work_pacer.hpp
+++ b/src/process/work_pacer.hpp
@@ -16,6 +16,10 @@
     void add_timer(time_point due, time_point now);
     // Returns the least time from the start of a poll to the start of the next one of the same upstream.
     std::chrono::milliseconds get_pause() const { return pause_; }
+    // Returns when to poll an upstream again. A poll that is due to bring the end of a run comes before the
+    // pause is over: until the owner reads the end, the room of the run stays unused and the next step of its
+    // job waits.
+    time_point get_next_poll(time_point last_poll, time_point expected_end) const;
 
     bool operator==(const work_pacer&) const = default;
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -97,6 +97,8 @@
     // Returns the least time from the start of a poll to the start of the next one of the same upstream.
     // Called with the mutex held.
     std::chrono::milliseconds get_poll_pause() const;
+    // Returns when to poll the upstream again after a poll that was sent at the given time.
+    time_point get_next_poll(const upstream_id& id, time_point last_poll) const;
     awaitable<void> dispatch();
     bool is_start_pending(const start_order& order) const;
     // Records how long a server took to respond, in addition to the time that it was asked to wait.
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -191,17 +191,21 @@
     return std::max(pacer_.get_pause(), link_.get_poll_pause(std::chrono::steady_clock::now()));
 }
 
+time_point cell_owner::get_next_poll(const upstream_id& id, time_point last_poll) const {
+    std::lock_guard lock(mutex_);
+    const auto* upstream = scheduler_.find_upstream(id);
+    const auto expected_end = upstream == nullptr ? time_point::max() : upstream->get_expected_end();
+    const auto link_pause = link_.get_poll_pause(std::chrono::steady_clock::now());
+    return std::max(pacer_.get_next_poll(last_poll, expected_end), last_poll + link_pause);
+}
+
 awaitable<void> cell_owner::poll_upstream(upstream_id id) {
     constexpr milliseconds min_margin{500};
     milliseconds failure_delay{50};
     constexpr milliseconds max_failure_delay{400};
     auto last_poll = time_point();
     while (true) {
-        time_point next_poll;
-        {
-            std::lock_guard lock(mutex_);
-            next_poll = last_poll + get_poll_pause();
-        }
+        const auto next_poll = get_next_poll(id, last_poll);
         if (next_poll > std::chrono::steady_clock::now()) {
             co_await wait_until(next_poll);
         }
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -411,6 +411,9 @@
     record.is_order_sent = true;
     record.is_start_in_flight = true;
     record.started_at = now;
+    if (!spec.is_best_effort && !spec.is_long_running) {
+        record.expected_end = now + std::chrono::milliseconds(spec.estimated_ms);
+    }
     chosen.upstream->add_run(ref, run, record);
     best_effort_views_.erase(chosen.upstream);
     starts_left_ -= starts_left_ > 0 ? 1 : 0;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -459,6 +459,7 @@
     if (run->percent != row.percent) {
         run->percent = row.percent;
         run->percent_changed_clock_ms = clock_ms;
+        run->update_expected_end(now);
     }
     run->load = row.load;
     auto* job = find_job(row.task.job);
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -559,4 +559,34 @@
     BOOST_TEST(cell.scheduler->get_queue_statuses().empty());
 }
 
+// Guards against polls that are timed by an estimate although the progress shows that it is wrong, and
+// against extra polls for runs that free no processors.
+BOOST_AUTO_TEST_CASE(expects_the_end_of_a_run_by_its_progress) {
+    cell_fixture cell(1);
+    const auto& id = cell.entries[0].id;
+    const auto get_wait = [&] {
+        return cell.scheduler->find_upstream(id)->get_expected_end() - cell.clock->get_now();
+    };
+    cell.run_for(milliseconds(100));
+    BOOST_TEST((cell.scheduler->find_upstream(id)->get_expected_end() == time_point::max()));
+    auto best_effort = cell_fixture::make_step(1);
+    best_effort.is_best_effort = true;
+    cell.add_job("best-effort", cell_fixture::make_job({best_effort}), 9000);
+    auto long_running = cell_fixture::make_step(1);
+    long_running.is_long_running = true;
+    cell.add_job("long-running", cell_fixture::make_job({long_running}));
+    cell.run_for(milliseconds(200));
+    BOOST_TEST((cell.scheduler->find_upstream(id)->get_expected_end() == time_point::max()));
+    // Estimated at 1 s, it takes 3 s.
+    cell.add_job("slow", cell_fixture::make_job({cell_fixture::make_step(1)}), 3000);
+    cell.run_for(milliseconds(60));
+    BOOST_TEST((get_wait() > milliseconds(800)));
+    BOOST_TEST((get_wait() <= milliseconds(1000)));
+    cell.run_for(milliseconds(1500));
+    BOOST_TEST((get_wait() > milliseconds(1200)));
+    BOOST_TEST((get_wait() < milliseconds(1700)));
+    cell.run_for(milliseconds(1700));
+    BOOST_TEST((cell.scheduler->find_upstream(id)->get_expected_end() == time_point::max()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/work_pacer_test.cpp
+++ b/tests/work_pacer_test.cpp
@@ -48,4 +48,27 @@
     BOOST_TEST((pacer.get_pause() < milliseconds(10)));
 }
 
+// Guards against an overloaded owner that reads all ends equally late: the processors of short runs stayed
+// unused for most of a pause after each of them, and the next step of their job waited.
+BOOST_AUTO_TEST_CASE(an_expected_end_shortens_the_pause) {
+    jacinthvane::work_pacer pacer;
+    auto now = run_timers(pacer, start, milliseconds(200));
+    now = run_timers(pacer, now, milliseconds(200));
+    const auto regular = now + pacer.get_pause();
+    BOOST_REQUIRE((pacer.get_pause() > milliseconds(500)));
+    BOOST_TEST((pacer.get_next_poll(now, now + milliseconds(400)) == now + milliseconds(400)));
+    BOOST_TEST((pacer.get_next_poll(now, time_point::max()) == regular));
+    // An end that does not come does not bring back the polls without a pause.
+    const auto overdue = pacer.get_next_poll(now, now - milliseconds(3000));
+    BOOST_TEST((overdue > now + milliseconds(100)));
+    BOOST_TEST((overdue < regular));
+}
+
+// Guards against a pause that an idle process does not need.
+BOOST_AUTO_TEST_CASE(an_expected_end_delays_no_poll) {
+    const jacinthvane::work_pacer pacer;
+    BOOST_TEST((pacer.get_next_poll(start, start + milliseconds(400)) == start));
+    BOOST_TEST((pacer.get_next_poll(start, time_point::max()) == start));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
