--- /dev/null
+++ b/src/version/cell_incarnations.cpp
@@ -0,0 +1,179 @@
+// Restarts of upstreams, and the leases that their incarnations hold; see cell_scheduler.hpp.
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+#include <glog/logging.h>
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+// Covers the rounding to whole milliseconds on the owner's and the upstream's side.
+constexpr std::chrono::milliseconds lease_rounding_margin{100};
+
+const char* get_source_name(incarnation_source source) {
+    switch (source) {
+        case incarnation_source::report:
+            return "report";
+        case incarnation_source::listing:
+            return "listing";
+        case incarnation_source::refusal:
+            return "refusal";
+    }
+    return "unknown";
+}
+
+}  // namespace
+
+std::chrono::milliseconds cell_scheduler::get_longest_lease() const {
+    const std::chrono::milliseconds on_this_clock =
+        limits_.max_lease * 1000 / (1000 - limits_.clock_drift_permille);
+    return on_this_clock + lease_rounding_margin;
+}
+
+time_point cell_scheduler::get_inherited_leases_end() const {
+    return owner_since_ + limits_.proof_window + get_longest_lease();
+}
+
+void cell_scheduler::expect_upstream(const upstream_entry& entry) {
+    auto& upstream = upstreams_[entry.id];
+    upstream.entry = entry;
+    upstream.boot_unix_ms = entry.boot_unix_ms;
+    upstream.is_recorded = true;
+    upstream.may_have_inherited_runs = true;
+    upstream.leases_expire_at = get_inherited_leases_end();
+}
+
+void cell_scheduler::list_upstream(const upstream_entry& entry, time_point now) {
+    const auto found = upstreams_.find(entry.id);
+    if (found == upstreams_.end()) {
+        auto& upstream = upstreams_[entry.id];
+        upstream.entry = entry;
+        upstream.boot_unix_ms = entry.boot_unix_ms;
+        upstream.leases_expire_at = now;
+        upstream.failed_polls_after_expiry = conclusive_failed_polls;
+        upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
+        upstream.is_listed = true;
+        return;
+    }
+    auto& upstream = found->second;
+    upstream.is_listed = true;
+    if (entry.boot_unix_ms > upstream.boot_unix_ms && upstream.boot_unix_ms != 0) {
+        begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, now);
+    }
+    if (entry.is_leaving && !upstream.entry.is_leaving) {
+        upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
+    }
+    upstream.entry = entry;
+}
+
+void cell_scheduler::record_upstreams(const std::vector<upstream_entry>& entries) {
+    for (const auto& entry : entries) {
+        if (const auto found = upstreams_.find(entry.id); found != upstreams_.end()) {
+            found->second.is_recorded = true;
+        }
+    }
+}
+
+bool cell_scheduler::has_unrecorded_upstreams() const {
+    return std::any_of(upstreams_.begin(), upstreams_.end(),
+                       [](const auto& entry) { return !entry.second.is_recorded; });
+}
+
+void cell_scheduler::unlist_upstream(const upstream_id& id) {
+    if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+        found->second.is_listed = false;
+    }
+}
+
+void cell_scheduler::begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms,
+                                       incarnation_source source, time_point now) {
+    std::vector<run_key> ended;
+    for (auto& [key, run] : upstream.runs) {
+        // Where another upstream has responded at the address, only an order that is still in flight may
+        // reach a later incarnation of this one.
+        const bool is_kept =
+            source == incarnation_source::refusal ? run.is_start_in_flight : run.may_be_in_next_incarnation();
+        if (is_kept) {
+            run.expect_in_next_incarnation();
+        } else {
+            ended.push_back(key);
+        }
+    }
+    LOG(INFO) << "event=upstream_restarted upstream=" << upstream.entry.id.get() << " boot=" << boot_unix_ms
+              << " previous_boot=" << upstream.boot_unix_ms << " source=" << get_source_name(source)
+              << " runs_ended=" << ended.size() << " runs_unknown=" << upstream.runs.size() - ended.size()
+              << " token=" << token_;
+    // An upstream that was leaving has shut down.
+    if (!upstream.entry.is_leaving) {
+        record_crash(upstream, now);
+    }
+    for (const auto& key : ended) {
+        release_run(upstream, key, now);
+    }
+    for (auto& [key, run] : upstream.runs) {
+        const bool is_unknown_start = run.has_unknown_start && !run.is_start_in_flight;
+        if (run.phase == run_phase::stopping || is_unknown_start) {
+            // The new incarnation knows of no earlier stop order.
+            restart_stop(run, now);
+        }
+    }
+    upstream.boot_unix_ms = boot_unix_ms;
+    upstream.entry.boot_unix_ms = boot_unix_ms;
+    upstream.applied_end = 0;
+    upstream.durable_end = 0;
+    upstream.clock_ms = 0;
+    upstream.has_responded = false;
+    upstream.health = upstream_health();
+    expect_leases_of_incarnation(upstream, source, now);
+}
+
+void cell_scheduler::expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source,
+                                                  time_point now) {
+    upstream.leases_expire_at = now;
+    upstream.failed_polls_after_expiry = conclusive_failed_polls;
+    if (source == incarnation_source::listing && now < get_inherited_leases_end()) {
+        // An upstream forgets the fencing token when it restarts, so until it has received that of this
+        // owner, it carries out orders of the previous one.
+        upstream.may_have_inherited_runs = true;
+        upstream.leases_expire_at = get_inherited_leases_end();
+    } else {
+        upstream.may_have_inherited_runs = false;
+    }
+    if (upstream.has_unknown_incarnations()) {
+        extend_leases(upstream, now);
+    }
+}
+
+void cell_scheduler::extend_leases(upstream_ledger& upstream, time_point now) {
+    upstream.leases_expire_at = std::max(upstream.leases_expire_at, now + get_longest_lease());
+    upstream.failed_polls_after_expiry = 0;
+}
+
+void cell_scheduler::end_incarnation(const upstream_id& id, time_point now) {
+    const auto found = upstreams_.find(id);
+    if (found == upstreams_.end()) {
+        return;
+    }
+    begin_incarnation(found->second, found->second.boot_unix_ms, incarnation_source::refusal, now);
+    found->second.is_unresponsive = true;
+}
+
+std::int64_t cell_scheduler::grant_lease(upstream_ledger& upstream, time_point now) {
+    if (upstream.clock_ms == 0) {
+        return 0;
+    }
+    const auto until = upstream.estimate_clock_ms(now) + limits_.max_lease.count();
+    const std::chrono::milliseconds left(until - upstream.clock_ms);
+    const auto expires_at =
+        upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + lease_rounding_margin;
+    upstream.leases_expire_at = std::max(upstream.leases_expire_at, expires_at);
+    upstream.failed_polls_after_expiry = 0;
+    return until;
+}
+
+}  // namespace jacinthvane
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -26,14 +26,7 @@
 constexpr std::size_t max_advised_upstreams = 20;
 
 // Placement costs, in units of an upstream's processors: 1 is the cost of a fully committed upstream.
-constexpr double remote_data_cost = 3.0;
 constexpr double avoided_cost = 2.0;
-constexpr double failure_cost = 0.3;
-constexpr double best_effort_share_cost = 0.3;
-constexpr double slow_best_effort_cost = 2.0;
-// Groups latency-critical tasks of one image, so that fewer kinds of best-effort tasks interfere on each
-// upstream. More than 1, so that an empty upstream is preferred to one that runs other images.
-constexpr double other_image_cost = 1.5;
 
 bool is_avoided(const task_record& task, const upstream_id& upstream) {
     return std::find(task.avoided.begin(), task.avoided.end(), upstream) != task.avoided.end();
@@ -351,46 +344,6 @@
     return {tail_model_.get_index(spec.image), size / static_cast<double>(processors)};
 }
 
-double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec, double gain) {
-    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto scale = static_cast<double>(processors);
-    double cost = failure_cost * upstream.health.get_failures();
-    if (!spec.data_rack.empty() && spec.data_rack != upstream.entry.get_rack()) {
-        cost += remote_data_cost;
-    }
-    if (spec.is_best_effort) {
-        return cost + get_best_effort_cost(upstream, gain);
-    }
-    if (spec.target_tail_ms > 0) {
-        return cost + get_serving_cost(upstream, spec);
-    }
-    cost += static_cast<double>(upstream.committed.get_processors_milli()) / scale;
-    return cost + best_effort_share_cost * static_cast<double>(upstream.best_effort_milli) / scale;
-}
-
-double cell_scheduler::get_best_effort_cost(const upstream_ledger& upstream, double gain) const {
-    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto scale = static_cast<double>(processors);
-    const auto used =
-        static_cast<double>(upstream.estimate_used_milli() + upstream.best_effort_milli) / scale;
-    return used + slow_best_effort_cost * (1.0 - gain);
-}
-
-double cell_scheduler::get_serving_cost(const upstream_ledger& upstream, const step_spec& spec) {
-    const auto image = tail_model_.get_index(spec.image);
-    int other_image_count = 0;
-    int serving_count = 0;
-    for (const auto& [key, run] : upstream.runs) {
-        serving_count += run.target_tail_ms > 0 ? 1 : 0;
-        other_image_count += run.target_tail_ms > 0 && run.image != image ? 1 : 0;
-    }
-    // Fills one upstream before the next, which keeps other upstreams free of latency-critical tasks.
-    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto room = static_cast<double>(upstream.get_room().get_processors_milli());
-    const double mixing = serving_count == 0 ? 0.0 : other_image_cost * other_image_count / serving_count;
-    return room / static_cast<double>(processors) + mixing;
-}
-
 void cell_scheduler::start_task(job_record& job, const task_ref& ref, const placement& chosen,
                                 std::uint64_t run, time_point now, cell_decisions& decisions) {
     const auto& spec = job.job->spec.steps[ref.step];
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -286,7 +286,7 @@
     bool may_share(const upstream_ledger& upstream, const task_record& task) const;
     double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
 
-    // Reports (cell_reports.cpp)
+    // Restarts and leases of upstreams (cell_incarnations.cpp)
     // Releases the runs of the previous incarnation. A run whose start order may have reached the new one is
     // kept until a report or a response shows where it is: its task would otherwise run twice.
     void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, incarnation_source source,
@@ -300,6 +300,9 @@
     std::chrono::milliseconds get_longest_lease() const;
     // When every lease that an earlier owner granted has ended.
     time_point get_inherited_leases_end() const;
+    std::int64_t grant_lease(upstream_ledger& upstream, time_point now);
+
+    // Reports (cell_reports.cpp)
     void apply_end(upstream_ledger& upstream, const ended_row& row, time_point now);
     void apply_running(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
                        time_point now);
@@ -397,7 +400,6 @@
     std::uint64_t get_next_run(const task_record& task) const;
     start_order make_start(upstream_ledger& upstream, const job_record& job, const task_ref& task,
                            std::uint64_t run, const std::string& ticket, time_point now);
-    std::int64_t grant_lease(upstream_ledger& upstream, time_point now);
 
     const cell_limits limits_;
     const std::uint64_t token_;
