--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -348,6 +348,8 @@
         std::vector<std::string> addresses;
         {
             std::lock_guard lock(mutex_);
+            const auto placements = scheduler_.get_evaluated_placements();
+            std::uint64_t starts = 0;
             decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_,
                                           link_.get_free_starts());
             for (const auto& order : decisions.orders) {
@@ -358,11 +360,13 @@
                 load_.begin_order();
                 if (const auto* start = std::get_if<start_order>(&order)) {
                     link_.begin_start(estimate_bytes(*start));
+                    ++starts;
                 }
             }
             ++decisions_;
             held_decisions_ += scheduler_.has_held_starts() ? 1 : 0;
-            load_.add_decision(std::chrono::steady_clock::now() - started_at);
+            load_.add_decision(std::chrono::steady_clock::now() - started_at,
+                               scheduler_.get_evaluated_placements() - placements, starts);
         }
         for (std::size_t i = 0; i < decisions.orders.size(); ++i) {
             spawn("send_order", send_order(std::move(decisions.orders[i]), addresses[i]));
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -275,6 +275,7 @@
 
 void cell_scheduler::evaluate(candidate& option, const job_record& job, const step_ref& ref,
                               const std::string& service, time_point now) {
+    ++evaluated_placements_;
     const auto& upstream = *option.upstream;
     const auto& spec = job.job->spec.steps[ref.step];
     option.is_eligible = has_room_for(upstream, job, ref, service);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -161,6 +161,8 @@
 
     // Whether the last decision left tasks waiting because it might start no more of them.
     bool has_held_starts() const { return has_held_starts_; }
+    // How often all decisions so far have checked whether a step fits on an upstream, and at which cost.
+    std::uint64_t get_evaluated_placements() const { return evaluated_placements_; }
 
     // Whether a start order that was decided earlier should still be sent: its job may have been cancelled,
     // or an earlier run of its task may have turned out to be done.
@@ -430,6 +432,7 @@
     // Valid within one decision.
     std::size_t starts_left_ = 0;
     bool has_held_starts_ = false;
+    std::uint64_t evaluated_placements_ = 0;
     std::vector<upstream_ledger*> usable_upstreams_;
     // Number of the current decision. The views of earlier ones are kept for their memory only.
     std::uint64_t decision_ = 0;
