Let a decision evaluate what has changed instead of all upstreams for each step

Cause: each decision evaluated 890 upstreams anew for each waiting step. It took 45 to 100 ms of the owner's half processor, so there were five a second; timers were late by just that time, the pause between polls grew to 0.9 s, ends were read late, more tasks waited, and decisions took longer still. The state outlived the burst that began it. Class: work whose cost is the product of two sizes of the system, in a loop whose slowness makes one of them grow.

Change: upstream_index orders the usable upstreams by the least cost of a placement and numbers their changes. A search evaluates upstreams in ascending order of that cost and stops when no other can be cheaper. A search that found nothing is recorded by kind of task, and the next one looks only at upstreams that have changed since. Orders to send again, slow best-effort tasks and the use of processors are no longer sought in all runs of all upstreams either.

One difference: the least gain of a best-effort task is fixed when a search begins, not while it goes on.

Why it holds at ten times the fleet: a decision costs the changes since the last one times the kinds of tasks that wait, and each start a few steps of an ordered set; neither grows with the number of upstreams.

--- a/src/process/job_spec.hpp
+++ b/src/process/job_spec.hpp
@@ -42,6 +42,9 @@
     std::optional<std::uint32_t> disruption_budget;
 
     bool operator==(const step_spec&) const = default;
+
+    // What each task reserves on its upstream.
+    resource_vector get_reserved_size() const { return is_best_effort ? size.without_processors() : size; }
 };
 
 // A job as a client submits it. Immutable once accepted.
--- a/src/process/resource_vector.hpp
+++ b/src/process/resource_vector.hpp
@@ -42,6 +42,8 @@
                 accelerators_ - other.accelerators_, slots_ - other.slots_};
     }
 
+    constexpr resource_vector without_processors() const { return {0, memory_mb_, accelerators_, slots_}; }
+
     // Returns the given share of each amount, rounded down, so that the results for shares that add up to
     // 1000 never exceed the original amounts in total.
     constexpr resource_vector scale_permille(std::int64_t permille) const {
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -15,6 +15,12 @@
 // Progress is reported in whole percent, so less of it says little about the speed of a run.
 constexpr std::int32_t min_conclusive_percent = 10;
 
+// Estimates the processors that a committed run uses, in thousandths of a processor.
+std::int64_t estimate_used_milli(const run_record& run) {
+    const auto processors = run.committed.get_processors_milli();
+    return run.is_long_running ? processors * long_running_use_permille / 1000 : processors;
+}
+
 }  // namespace
 
 void run_record::update_expected_end(time_point now) {
@@ -63,15 +69,6 @@
     return earliest;
 }
 
-std::int64_t upstream_ledger::estimate_used_milli() const {
-    std::int64_t used = 0;
-    for (const auto& [key, run] : runs) {
-        const auto processors = run.committed.get_processors_milli();
-        used += run.is_long_running ? processors * long_running_use_permille / 1000 : processors;
-    }
-    return used;
-}
-
 run_record* upstream_ledger::find_run(const task_ref& task, std::uint64_t run) {
     const auto found = runs.find(run_key_view{task, run});
     return found == runs.end() ? nullptr : &found->second;
@@ -80,6 +77,7 @@
 void upstream_ledger::add_run(const task_ref& task, std::uint64_t run, run_record record) {
     committed = committed + record.committed;
     best_effort_milli += record.best_effort_milli;
+    used_milli += estimate_used_milli(record);
     unknown_size_runs += record.is_size_unknown ? 1 : 0;
     suspect_runs += record.earlier_crashes > 0 ? 1 : 0;
     runs.emplace(run_key{task, run}, record);
@@ -92,6 +90,7 @@
     }
     committed = committed - found->second.committed;
     best_effort_milli -= found->second.best_effort_milli;
+    used_milli -= estimate_used_milli(found->second);
     unknown_size_runs -= found->second.is_size_unknown ? 1 : 0;
     suspect_runs -= found->second.earlier_crashes > 0 ? 1 : 0;
     runs.erase(found);
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -15,6 +15,7 @@
 #include "process/task_ref.hpp"
 #include "process/upstream_entry.hpp"
 #include "process/upstream_health.hpp"
+#include "process/upstream_index.hpp"
 
 namespace jacinthvane {
 
@@ -163,6 +164,8 @@
     std::map<run_key, run_record, run_order> runs;
     resource_vector committed;
     std::int64_t best_effort_milli = 0;
+    // Estimate of the processors that the committed tasks use, in thousandths of a processor.
+    std::int64_t used_milli = 0;
     // Runs whose size is unknown; no other run may start while there is one.
     std::size_t unknown_size_runs = 0;
     // Runs of tasks under which an upstream has crashed before.
@@ -180,6 +183,11 @@
     // Best-effort tasks that ended so recently that the next measurements still include them.
     std::vector<ended_best_effort_task> ended_best_effort_tasks;
     upstream_health health;
+    // Its slot in the index of the scheduler.
+    upstream_index::slot_number slot = 0;
+    // Whether the scheduler looks for orders to send again here, and for best-effort tasks to move.
+    bool has_pending_orders = false;
+    bool has_slow_tasks = false;
 
     // Whether all runs must have ended and it cannot be learned how: their leases have expired, and polls
     // that were sent after that returned no list. One failed poll proves little, since it may have been sent
@@ -205,8 +213,6 @@
     // Estimates the current reading of the upstream's clock, assuming that it runs as fast as the clock of
     // this process.
     std::int64_t estimate_clock_ms(time_point now) const;
-    // Estimates the processors that the committed tasks use, in thousandths of a processor.
-    std::int64_t estimate_used_milli() const;
     run_record* find_run(const task_ref& task, std::uint64_t run);
     void add_run(const task_ref& task, std::uint64_t run, run_record record);
     void remove_run(const task_ref& task, std::uint64_t run);
--- a/src/version/cell_costs.cpp
+++ b/src/version/cell_costs.cpp
@@ -1,7 +1,9 @@
 // Costs of placing a task on an upstream, in units of its processors: 1 is the cost of a fully committed
-// upstream; see cell_scheduler.hpp.
+// upstream; and the least gain for which a best-effort task starts; see cell_scheduler.hpp.
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 
 #include "version/cell_scheduler.hpp"
 
@@ -17,46 +19,84 @@
 // upstream. More than 1, so that an empty upstream is preferred to one that runs other images.
 constexpr double other_image_cost = 1.5;
 
+// A best-effort task starts only where it raises the total speed of all best-effort tasks by at least this
+// share of its own full speed.
+constexpr double min_best_effort_gain = 0.9;
+// If no upstream offers that gain, this share of the best gain seen in the last seconds is sufficient.
+constexpr double min_share_of_best_gain = 0.9;
+// Time constant with which the best gain seen for an image decays.
+constexpr std::chrono::duration<double> best_gain_decay_time{4.0};
+
+// Share of the latency-critical tasks of the upstream that run another image.
+double get_other_image_share(const upstream_ledger& upstream, image_index image) {
+    int other_image_count = 0;
+    int serving_count = 0;
+    for (const auto& [key, run] : upstream.runs) {
+        serving_count += run.target_tail_ms > 0 ? 1 : 0;
+        other_image_count += run.target_tail_ms > 0 && run.image != image ? 1 : 0;
+    }
+    return serving_count == 0 ? 0.0 : static_cast<double>(other_image_count) / serving_count;
+}
+
 }  // namespace
 
-double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_spec& spec, double gain) {
+cost_bounds cell_scheduler::get_cost_bounds(const upstream_ledger& upstream) {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto scale = static_cast<double>(processors);
-    double cost = failure_cost * upstream.health.get_failures();
+    const auto get_share = [&](std::int64_t milli) {
+        return static_cast<double>(milli) / static_cast<double>(processors);
+    };
+    const double failures = failure_cost * upstream.health.get_failures();
+    const double best_effort = best_effort_share_cost * get_share(upstream.best_effort_milli);
+    return {
+        failures + get_share(upstream.committed.get_processors_milli()) + best_effort,
+        // Fills one upstream before the next, which keeps other upstreams free of latency-critical tasks.
+        failures + get_share(upstream.get_room().get_processors_milli()),
+        failures + get_share(upstream.used_milli + upstream.best_effort_milli),
+    };
+}
+
+double cell_scheduler::get_cost(const upstream_ledger& upstream, const step_terms& terms, double gain) {
+    const auto& spec = *terms.spec;
+    double cost = get_cost_bounds(upstream)[static_cast<std::size_t>(terms.kind)];
     if (!spec.data_rack.empty() && spec.data_rack != upstream.entry.get_rack()) {
         cost += remote_data_cost;
     }
-    if (spec.is_best_effort) {
-        return cost + get_best_effort_cost(upstream, gain);
+    switch (terms.kind) {
+        case placement_kind::reserved:
+            break;
+        case placement_kind::serving:
+            cost += other_image_cost * get_other_image_share(upstream, terms.image);
+            break;
+        case placement_kind::best_effort:
+            cost += slow_best_effort_cost * std::max(1.0 - gain, 0.0);
+            break;
     }
-    if (spec.target_tail_ms > 0) {
-        return cost + get_serving_cost(upstream, spec);
-    }
-    cost += static_cast<double>(upstream.committed.get_processors_milli()) / scale;
-    return cost + best_effort_share_cost * static_cast<double>(upstream.best_effort_milli) / scale;
+    return cost;
 }
 
-double cell_scheduler::get_best_effort_cost(const upstream_ledger& upstream, double gain) const {
-    const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto scale = static_cast<double>(processors);
-    const auto used =
-        static_cast<double>(upstream.estimate_used_milli() + upstream.best_effort_milli) / scale;
-    return used + slow_best_effort_cost * (1.0 - gain);
+double cell_scheduler::get_min_gain(image_index image, time_point now) {
+    const auto found = best_gains_.find(image);
+    if (found == best_gains_.end()) {
+        return min_best_effort_gain;
+    }
+    const std::chrono::duration<double> age = now - found->second.seen_at;
+    const double best = found->second.gain * std::exp(-age / best_gain_decay_time);
+    return std::clamp(best * min_share_of_best_gain, min_useful_best_effort_gain, min_best_effort_gain);
 }
 
-double cell_scheduler::get_serving_cost(const upstream_ledger& upstream, const step_spec& spec) {
-    const auto image = tail_model_.get_index(spec.image);
-    int other_image_count = 0;
-    int serving_count = 0;
-    for (const auto& [key, run] : upstream.runs) {
-        serving_count += run.target_tail_ms > 0 ? 1 : 0;
-        other_image_count += run.target_tail_ms > 0 && run.image != image ? 1 : 0;
+void cell_scheduler::record_gain(image_index image, double gain, time_point now) {
+    auto& best = best_gains_[image];
+    const std::chrono::duration<double> age = now - best.seen_at;
+    if (best.seen_at == time_point() || gain >= best.gain * std::exp(-age / best_gain_decay_time)) {
+        best = {gain, now};
     }
-    // Fills one upstream before the next, which keeps other upstreams free of latency-critical tasks.
+}
+
+best_effort_use cell_scheduler::get_best_effort_use(const upstream_ledger& upstream,
+                                                    const step_terms& terms) {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto room = static_cast<double>(upstream.get_room().get_processors_milli());
-    const double mixing = serving_count == 0 ? 0.0 : other_image_cost * other_image_count / serving_count;
-    return room / static_cast<double>(processors) + mixing;
+    const auto size = static_cast<double>(terms.spec->size.get_processors_milli());
+    return {terms.image, size / static_cast<double>(processors)};
 }
 
 }  // namespace jacinthvane
--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -41,6 +41,8 @@
 // How often another upstream is sought for a slow task, and for how many tasks in one decision.
 constexpr std::chrono::milliseconds move_check_interval{400};
 constexpr std::size_t max_moves_per_decision = 12;
+// Avoids a division by the size of a task that requests no processors.
+constexpr double min_share = 1e-6;
 // Parts of cell_limits::interference_limit after which, while a target is exceeded, first the best-effort
 // tasks that may contribute to it get a CPU limit of 0, then all of them.
 constexpr std::int64_t stop_suspected_permille = 200;
@@ -52,7 +54,7 @@
 }
 
 double get_free_share(const upstream_ledger& upstream) {
-    return 1.0 - get_share(upstream.estimate_used_milli(), upstream);
+    return 1.0 - get_share(upstream.used_milli, upstream);
 }
 
 bool has_steady_cpu_limit(const run_record& run, time_point now) {
@@ -143,7 +145,7 @@
 
 const cell_scheduler::best_effort_view& cell_scheduler::get_best_effort_view(const upstream_ledger& upstream,
                                                                              time_point now) {
-    auto& view = best_effort_views_[&upstream];
+    auto& view = best_effort_views_[upstream.slot];
     if (view.decision != decision_) {
         view.decision = decision_;
         view.budgets = get_serving_budgets(upstream, now + placement_horizon);
@@ -160,15 +162,13 @@
     return view;
 }
 
-void cell_scheduler::forget_best_effort_view(const upstream_ledger& upstream) {
-    if (const auto found = best_effort_views_.find(&upstream); found != best_effort_views_.end()) {
-        found->second.decision = 0;
-    }
-}
-
 double cell_scheduler::get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
                                             time_point now) {
     const auto& view = get_best_effort_view(upstream, now);
+    const double max_gain = (view.free_share - view.planned_use) / std::max(added.share, min_share);
+    if (max_gain < min_useful_best_effort_gain) {
+        return max_gain;
+    }
     if (view.requested_share + added.share <= view.free_share) {
         // The added task gains its own CPU limit, and others may lose some of theirs if that is below 1.
         const double cpu_limit = get_added_cpu_limit(tail_model_, view.loads, added);
@@ -180,7 +180,7 @@
     tasks.push_back(added);
     const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, tasks, view.free_share);
     const double planned_use = get_planned_use(tasks, cpu_limits, view.free_share);
-    return (planned_use - view.planned_use) / std::max(added.share, 1e-6);
+    return (planned_use - view.planned_use) / std::max(added.share, min_share);
 }
 
 void cell_scheduler::update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now) {
@@ -283,12 +283,16 @@
     update_cpu_limits(upstream, now);
 }
 
-void cell_scheduler::order_cpu_limit(const upstream_ledger& upstream, const run_key& key, run_record& run,
+void cell_scheduler::order_cpu_limit(upstream_ledger& upstream, const run_key& key, run_record& run,
                                      std::int32_t new_percent, time_point now) {
     if (new_percent >= slow_cpu_limit_percent) {
         run.slow_since = time_point::max();
     } else {
         run.slow_since = std::min(run.slow_since, now);
+        if (!upstream.has_slow_tasks) {
+            upstream.has_slow_tasks = true;
+            slow_slots_.push_back(upstream.slot);
+        }
     }
     run.cpu_limit_percent = new_percent;
     run.cpu_limit_changed_at = now;
@@ -298,28 +302,40 @@
 std::vector<cell_scheduler::slow_best_effort_task> cell_scheduler::collect_slow_best_effort_tasks(
     time_point now) {
     std::vector<slow_best_effort_task> slow;
-    for (auto& [id, upstream] : upstreams_) {
-        for (auto& [key, run] : upstream.runs) {
-            if (slow.size() == max_moves_per_decision) {
-                return slow;
-            }
-            const bool is_slow = run.best_effort_milli > 0 && run.phase == run_phase::running &&
-                                 run.slow_since != time_point::max() && now - run.slow_since >= move_delay;
-            auto* job = is_slow && now >= run.next_move_check ? find_job(key.first.job) : nullptr;
-            auto* task = job == nullptr ? nullptr : job->find_task(key.first);
-            if (task == nullptr) {
-                continue;
-            }
-            const bool saves_progress = job->job->spec.steps[key.first.step].saves_checkpoints;
-            if (saves_progress || now - run.slow_since >= restart_move_delay) {
-                run.next_move_check = now + move_check_interval;
-                slow.push_back({job, task, key.first, &upstream, &run});
-            }
-        }
+    std::erase_if(slow_slots_, [&](upstream_index::slot_number slot) {
+        auto& upstream = index_.get_upstream(slot);
+        upstream.has_slow_tasks =
+            std::any_of(upstream.runs.begin(), upstream.runs.end(),
+                        [](const auto& entry) { return entry.second.slow_since != time_point::max(); });
+        return !upstream.has_slow_tasks;
+    });
+    for (const auto slot : slow_slots_) {
+        collect_slow_tasks_of(index_.get_upstream(slot), now, slow);
     }
     return slow;
 }
 
+void cell_scheduler::collect_slow_tasks_of(upstream_ledger& upstream, time_point now,
+                                           std::vector<slow_best_effort_task>& slow) {
+    for (auto& [key, run] : upstream.runs) {
+        if (slow.size() == max_moves_per_decision) {
+            return;
+        }
+        const bool is_slow = run.best_effort_milli > 0 && run.phase == run_phase::running &&
+                             run.slow_since != time_point::max() && now - run.slow_since >= move_delay;
+        auto* job = is_slow && now >= run.next_move_check ? find_job(key.first.job) : nullptr;
+        auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+        if (task == nullptr) {
+            continue;
+        }
+        const bool saves_progress = job->job->spec.steps[key.first.step].saves_checkpoints;
+        if (saves_progress || now - run.slow_since >= restart_move_delay) {
+            run.next_move_check = now + move_check_interval;
+            slow.push_back({job, task, key.first, &upstream, &run});
+        }
+    }
+}
+
 void cell_scheduler::move_slow_best_effort_tasks(time_point now) {
     for (const auto& best_effort_task : collect_slow_best_effort_tasks(now)) {
         // The task moves only if another upstream can run it now: here it would go on when the load falls.
@@ -327,7 +343,7 @@
                                             *best_effort_task.task, now);
         if (chosen && chosen->upstream != best_effort_task.upstream) {
             best_effort_task.task->avoided.push_back(best_effort_task.upstream->entry.id);
-            begin_stop(*best_effort_task.run, now);
+            begin_stop(*best_effort_task.upstream, *best_effort_task.run, now);
         }
     }
 }
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -39,10 +39,32 @@
     return owner_since_ + limits_.proof_window + get_longest_lease();
 }
 
-void cell_scheduler::expect_upstream(const upstream_entry& entry) {
-    auto& upstream = upstreams_[entry.id];
+upstream_ledger& cell_scheduler::add_upstream(const upstream_entry& entry) {
+    const auto [position, is_new] = upstreams_.try_emplace(entry.id);
+    auto& upstream = position->second;
+    if (is_new) {
+        upstream.slot = index_.add(upstream);
+        best_effort_views_.resize(std::max<std::size_t>(best_effort_views_.size(), upstream.slot + 1));
+    }
     upstream.entry = entry;
     upstream.boot_unix_ms = entry.boot_unix_ms;
+    mark_changed(upstream);
+    return upstream;
+}
+
+void cell_scheduler::remove_upstream(const upstream_id& id) {
+    const auto found = upstreams_.find(id);
+    const auto slot = found->second.slot;
+    index_.remove(slot);
+    std::erase(order_slots_, slot);
+    std::erase(slow_slots_, slot);
+    std::erase(blocked_slots_, slot);
+    best_effort_views_[slot] = best_effort_view();
+    upstreams_.erase(found);
+}
+
+void cell_scheduler::expect_upstream(const upstream_entry& entry) {
+    auto& upstream = add_upstream(entry);
     upstream.is_recorded = true;
     upstream.may_have_inherited_runs = true;
     upstream.leases_expire_at = get_inherited_leases_end();
@@ -51,9 +73,7 @@
 void cell_scheduler::list_upstream(const upstream_entry& entry, time_point now) {
     const auto found = upstreams_.find(entry.id);
     if (found == upstreams_.end()) {
-        auto& upstream = upstreams_[entry.id];
-        upstream.entry = entry;
-        upstream.boot_unix_ms = entry.boot_unix_ms;
+        auto& upstream = add_upstream(entry);
         upstream.leases_expire_at = now;
         upstream.failed_polls_after_expiry = conclusive_failed_polls;
         upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
@@ -62,6 +82,7 @@
     }
     auto& upstream = found->second;
     upstream.is_listed = true;
+    mark_changed(upstream);
     if (entry.boot_unix_ms > upstream.boot_unix_ms && upstream.boot_unix_ms != 0) {
         begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, now);
     }
@@ -73,8 +94,10 @@
 
 void cell_scheduler::record_upstreams(const std::vector<upstream_entry>& entries) {
     for (const auto& entry : entries) {
-        if (const auto found = upstreams_.find(entry.id); found != upstreams_.end()) {
+        const auto found = upstreams_.find(entry.id);
+        if (found != upstreams_.end() && !found->second.is_recorded) {
             found->second.is_recorded = true;
+            mark_changed(found->second);
         }
     }
 }
@@ -87,6 +110,7 @@
 void cell_scheduler::unlist_upstream(const upstream_id& id) {
     if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
         found->second.is_listed = false;
+        mark_changed(found->second);
     }
 }
 
@@ -119,9 +143,11 @@
         const bool is_unknown_start = run.has_unknown_start && !run.is_start_in_flight;
         if (run.phase == run_phase::stopping || is_unknown_start) {
             // The new incarnation knows of no earlier stop order.
-            restart_stop(run, now);
+            restart_stop(upstream, run, now);
         }
     }
+    mark_changed(upstream);
+    expect_orders(upstream);
     upstream.boot_unix_ms = boot_unix_ms;
     upstream.entry.boot_unix_ms = boot_unix_ms;
     upstream.applied_end = 0;
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -46,6 +46,13 @@
         is_fenced_ = true;
     }
     std::visit(visitor{*this, response, clock.now}, order);
+    const auto& id = std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
+    const auto found = upstreams_.find(id);
+    const bool is_limit = std::holds_alternative<cpu_limit_order>(order);
+    if (found != upstreams_.end() && !is_limit && response.result != order_result::accepted) {
+        expect_orders(found->second);
+        mark_changed(found->second);
+    }
 }
 
 bool cell_scheduler::is_start_pending(const start_order& order) const {
@@ -58,18 +65,26 @@
            order.boot_unix_ms == found->second.boot_unix_ms;
 }
 
-void cell_scheduler::begin_stop(run_record& run, time_point now) {
+void cell_scheduler::begin_stop(upstream_ledger& upstream, run_record& run, time_point now) {
     if (run.phase != run_phase::stopping) {
-        restart_stop(run, now);
+        restart_stop(upstream, run, now);
     }
 }
 
-void cell_scheduler::restart_stop(run_record& run, time_point now) {
+void cell_scheduler::restart_stop(upstream_ledger& upstream, run_record& run, time_point now) {
     run.phase = run_phase::stopping;
     run.is_order_sent = false;
     run.failed_orders = 0;
     run.repeated_orders = 0;
     run.next_order = now;
+    expect_orders(upstream);
+}
+
+void cell_scheduler::expect_orders(upstream_ledger& upstream) {
+    if (!upstream.has_pending_orders) {
+        upstream.has_pending_orders = true;
+        order_slots_.push_back(upstream.slot);
+    }
 }
 
 void cell_scheduler::apply_start_response(const start_order& order, const order_response& response,
@@ -110,7 +125,7 @@
             // In an incarnation that the order was not decided for, the run is stopped and started anew.
             if (run->is_incarnation_unknown ||
                 (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive)) {
-                begin_stop(*run, now);
+                begin_stop(upstream, *run, now);
             }
             return;
         case order_result::refused_other_incarnation:
@@ -128,7 +143,7 @@
     if (run->has_unknown_start) {
         // An earlier copy of the order may still be carried out. The stop ends the run or has the start
         // refused.
-        begin_stop(*run, now);
+        begin_stop(upstream, *run, now);
         return;
     }
     auto* job = find_job(order.task.job);
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -87,6 +87,7 @@
         }
         begin_incarnation(upstream, report.boot_unix_ms, incarnation_source::report, now);
     }
+    mark_changed(upstream);
     upstream.is_unresponsive = false;
     upstream.may_have_inherited_runs = false;
     upstream.failed_polls_after_expiry = 0;
@@ -179,7 +180,7 @@
         const task_ref ref{row.task.job, row.task.occurrence, row.task.step, i};
         auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(ref, task.last_run);
         if (run != nullptr) {
-            begin_stop(*run, now);
+            begin_stop(found->second, *run, now);
         }
     }
 }
@@ -207,7 +208,7 @@
                     ? nullptr
                     : upstream->second.find_run({ref.job, ref.occurrence, ref.step, i}, member.last_run);
             if (run != nullptr) {
-                begin_stop(*run, not_before);
+                begin_stop(upstream->second, *run, not_before);
             }
         }
     }
@@ -323,16 +324,13 @@
     auto* task = job == nullptr ? nullptr : job->find_task(row.task);
     if (task == nullptr) {
         run.is_size_unknown = true;
-        begin_stop(run, now);
+        begin_stop(upstream, run, now);
         upstream.add_run(row.task, row.run, run);
         return;
     }
     const auto& spec = job->job->spec.steps[row.task.step];
-    const auto& size = spec.size;
-    run.committed = spec.is_best_effort
-                        ? resource_vector(0, size.get_memory_mb(), size.get_accelerators(), size.get_slots())
-                        : size;
-    run.best_effort_milli = spec.is_best_effort ? size.get_processors_milli() : 0;
+    run.committed = spec.get_reserved_size();
+    run.best_effort_milli = spec.is_best_effort ? spec.size.get_processors_milli() : 0;
     run.is_long_running = spec.is_long_running;
     run.target_tail_ms = spec.target_tail_ms;
     run.image = tail_model_.get_index(spec.image);
@@ -348,29 +346,29 @@
         ++job->find_step(row.task.get_step())->active_tasks;
         update_waiting(*job);
     } else {
-        begin_stop(run, now);
+        begin_stop(upstream, run, now);
     }
     upstream.add_run(row.task, row.run, run);
 }
 
 void cell_scheduler::release_absent_runs(upstream_ledger& upstream, const upstream_report& report,
                                          time_point now) {
-    std::set<run_key> listed;
+    std::set<const run_record*> listed;
     for (const auto& row : report.running) {
-        listed.insert({row.task, row.run});
+        listed.insert(upstream.find_run(row.task, row.run));
     }
     // A run that is being stopped is in neither list and still uses its resources, so it is released only
     // after the longest time that a stop takes.
     const auto longest_stop = limits_.stop_timeout.count() + stop_margin_ms;
     std::vector<run_key> absent;
     for (auto& [key, run] : upstream.runs) {
-        if (!listed.contains(key) && upstream.is_of_earlier_incarnation(run)) {
+        if (!listed.contains(&run) && upstream.is_of_earlier_incarnation(run)) {
             absent.push_back(key);
             continue;
         }
         const bool was_there = run.seen_clock_ms > 0 && report.clock_ms > run.seen_clock_ms;
         const bool is_excluded = run.stopped_clock_ms > 0 && report.clock_ms > run.stopped_clock_ms;
-        if (listed.contains(key) || !(was_there || is_excluded)) {
+        if (listed.contains(&run) || !(was_there || is_excluded)) {
             run.absent_clock_ms = 0;
             continue;
         }
@@ -393,6 +391,7 @@
               << " upstream=" << upstream.entry.id.get() << " silent=" << upstream.is_unresponsive
               << " boot=" << upstream.boot_unix_ms << " token=" << token_;
     upstream.remove_run(key.first, key.second);
+    mark_changed(upstream);
     auto* job = find_job(key.first.job);
     auto* task = job == nullptr ? nullptr : job->find_task(key.first);
     if (task == nullptr || is_final(job->pending_end)) {
@@ -411,6 +410,7 @@
     }
     auto& upstream = found->second;
     upstream.is_unresponsive = true;
+    mark_changed(upstream);
     if (sent_at >= upstream.leases_expire_at) {
         ++upstream.failed_polls_after_expiry;
     }
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -1,6 +1,7 @@
 // Periodic upkeep of runs and of the orders for them; see cell_scheduler.hpp.
 
 #include <chrono>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -62,15 +63,31 @@
         }
     }
     for (const auto& id : removed) {
-        best_effort_views_.erase(&upstreams_.at(id));
-        upstreams_.erase(id);
+        remove_upstream(id);
     }
 }
 
-void cell_scheduler::repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
-                                   std::vector<upstream_order>& orders) {
+void cell_scheduler::repeat_orders(time_point now, bool may_start, std::vector<upstream_order>& orders) {
+    std::vector<upstream_index::slot_number> remaining;
+    for (const auto slot : std::exchange(order_slots_, {})) {
+        auto& upstream = index_.get_upstream(slot);
+        upstream.has_pending_orders = repeat_orders_of(upstream, now, may_start, orders);
+        if (upstream.has_pending_orders) {
+            remaining.push_back(slot);
+        }
+    }
+    order_slots_.insert(order_slots_.end(), remaining.begin(), remaining.end());
+}
+
+bool cell_scheduler::repeat_orders_of(upstream_ledger& upstream, time_point now, bool may_start,
+                                      std::vector<upstream_order>& orders) {
+    bool has_pending_orders = false;
     for (auto& [key, run] : upstream.runs) {
-        if (run.is_order_sent || now < run.next_order) {
+        if (run.is_order_sent || run.phase == run_phase::running) {
+            continue;
+        }
+        if (now < run.next_order) {
+            has_pending_orders = true;
             continue;
         }
         if (run.phase == run_phase::stopping) {
@@ -81,7 +98,8 @@
             auto* job = find_job(key.first.job);
             const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
             if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
-                begin_stop(run, now);
+                begin_stop(upstream, run, now);
+                has_pending_orders = true;
                 continue;
             }
             run.is_order_sent = true;
@@ -93,8 +111,11 @@
                 ticket = tickets->second.tickets.at(upstream.entry.id);
             }
             orders.emplace_back(make_start(upstream, *job, key.first, key.second, ticket, now));
+        } else {
+            has_pending_orders = true;
         }
     }
+    return has_pending_orders;
 }
 
 void cell_scheduler::stop_stalled_runs(upstream_ledger& upstream, time_point now) {
@@ -113,7 +134,7 @@
         }
         upstream.health.record_failure(key.first.job, !task->avoided.empty(), now);
         task->avoided.push_back(upstream.entry.id);
-        begin_stop(run, now);
+        begin_stop(upstream, run, now);
     }
 }
 
@@ -129,7 +150,7 @@
         const bool saves_progress = job->job->spec.steps[key.first.step].saves_checkpoints;
         const bool is_time_up = now + departure_margin >= upstream.leaves_at;
         if (run.is_long_running || (saves_progress && is_time_up)) {
-            begin_stop(run, now);
+            begin_stop(upstream, run, now);
         }
     }
 }
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -23,6 +23,8 @@
     // A change may arrive while the owner starts with the version before.
     const bool is_older = queues_ && queues && queues->get_config().version < queues_->get_config().version;
     queues_ = is_older ? queues_ : std::move(queues);
+    // The service of a queue may have changed.
+    unplaced_.clear();
 }
 
 void cell_scheduler::add_job(const job_id& id, std::shared_ptr<const accepted_job> job,
@@ -152,7 +154,7 @@
                 }
                 const task_ref task{job.id, number, step, index};
                 if (auto* run = upstream->second.find_run(task, tasks[index].last_run)) {
-                    begin_stop(*run, now);
+                    begin_stop(upstream->second, *run, now);
                 }
             }
         }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -21,6 +21,7 @@
 #include "process/job_spec.hpp"
 #include "process/tail_model.hpp"
 #include "process/upstream_entry.hpp"
+#include "process/upstream_index.hpp"
 #include "process/upstream_ledger.hpp"
 #include "process/upstream_order.hpp"
 #include "process/upstream_report.hpp"
@@ -214,14 +215,35 @@
         upstream_ledger* upstream = nullptr;
         std::string ticket;
     };
-    // Eligibility and cost of an upstream for the tasks of one step.
-    struct candidate {
-        upstream_ledger* upstream = nullptr;
-        bool is_stale = true;
-        bool is_eligible = false;
-        double cost = 0;
-        // Set for best-effort tasks only; see get_best_effort_gain.
-        double gain = 0;
+    // An upstream that may run a task of a step, with its cost.
+    using candidate = upstream_index::ranked_slot;
+    // What the evaluation of an upstream needs to know about a step.
+    struct step_terms {
+        const step_spec* spec = nullptr;
+        step_ref step;
+        std::string service;
+        placement_kind kind = placement_kind::reserved;
+        image_index image = 0;
+        // The lowest gain for which a best-effort task starts; see get_min_gain.
+        double min_gain = 0;
+    };
+    // A search for the cheapest upstreams for the tasks of one step, in ascending order of cost. It evaluates
+    // an upstream only when none of those evaluated before can be cheaper.
+    struct step_search {
+        // The decision that it belongs to; 0 if it has ended.
+        std::uint64_t decision = 0;
+        step_terms terms;
+        // The index at its start.
+        std::uint64_t revision = 0;
+        // The next upstream that is not evaluated yet. The ranking stays as it is until the search ends.
+        upstream_index::ranking::const_iterator next;
+        upstream_index::ranking::const_iterator end;
+        // Eligible upstreams, as a heap with the cheapest one first.
+        std::vector<candidate> candidates;
+        // The upstream of the last task, whose cost has changed with it.
+        std::optional<upstream_index::slot_number> chosen;
+        // An upstream was not eligible for its gain only, so that it may be soon without a change.
+        bool has_low_gains = false;
     };
     // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
@@ -251,14 +273,24 @@
         upstream_ledger* upstream = nullptr;
         run_record* run = nullptr;
     };
-    // A kind of task for which no upstream had room in this decision.
-    struct unplaced_size {
+    // A kind of task for which a search found no upstream.
+    struct unplaced_kind {
         std::string service;
         resource_vector size;
         // Set for best-effort tasks only: whether one fits depends on the images that it would be co-located
         // with.
         std::string image;
         bool is_best_effort = false;
+        // No upstream that has not changed after this revision of the index has room.
+        std::uint64_t revision = 0;
+        std::uint64_t decision = 0;
+        time_point searched_at;
+
+        // Whether a task of the other kind needs at least as much, so that it fits nowhere either.
+        bool covers(const unplaced_kind& other) const {
+            return service == other.service && is_best_effort == other.is_best_effort &&
+                   image == other.image && size.is_within(other.size);
+        }
     };
 
     // Jobs (cell_scheduler.cpp)
@@ -271,6 +303,8 @@
     std::uint32_t get_max_attempts(const job_record& job) const;
     std::int32_t get_priority(const job_record& job) const;
     void update_waiting(const job_record& job);
+    upstream_ledger& add_upstream(const upstream_entry& entry);
+    void remove_upstream(const upstream_id& id);
     void begin_commit_batch();
     // Adds the waiting tasks to the summary (cell_summary.cpp).
     void count_waiting_tasks_by_kind(cell_summary& summary) const;
@@ -326,9 +360,11 @@
     // Responses to orders (cell_orders.cpp)
     void apply_start_response(const start_order& order, const order_response& response, time_point now);
     void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
-    void begin_stop(run_record& run, time_point now);
+    void begin_stop(upstream_ledger& upstream, run_record& run, time_point now);
+    // The next decision looks for orders of the upstream that have to be sent again.
+    void expect_orders(upstream_ledger& upstream);
     // Sends the stop order again, also if it was sent before.
-    static void restart_stop(run_record& run, time_point now);
+    void restart_stop(upstream_ledger& upstream, run_record& run, time_point now);
 
     // CPU limits of best-effort tasks that share an upstream with latency-critical tasks
     // (cell_cpu_limits.cpp)
@@ -339,11 +375,13 @@
     void update_cpu_limits(upstream_ledger& upstream, time_point now);
     std::int32_t clamp_cpu_limit(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
                                  std::int32_t planned, time_point now) const;
-    void order_cpu_limit(const upstream_ledger& upstream, const run_key& key, run_record& run,
+    void order_cpu_limit(upstream_ledger& upstream, const run_key& key, run_record& run,
                          std::int32_t new_percent, time_point now);
     // Best-effort tasks that have had a low CPU limit for a while and for which another upstream may be
     // sought again.
     std::vector<slow_best_effort_task> collect_slow_best_effort_tasks(time_point now);
+    void collect_slow_tasks_of(upstream_ledger& upstream, time_point now,
+                               std::vector<slow_best_effort_task>& slow);
     void move_slow_best_effort_tasks(time_point now);
     // One entry for each latency-critical step on the upstream.
     std::vector<serving_budget> get_serving_budgets(const upstream_ledger& upstream, time_point until) const;
@@ -353,8 +391,6 @@
     double get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
                                 time_point now);
     const best_effort_view& get_best_effort_view(const upstream_ledger& upstream, time_point now);
-    // The runs of the upstream have changed within a decision.
-    void forget_best_effort_view(const upstream_ledger& upstream);
     // False while a latency target is exceeded on the upstream, except at first for best-effort tasks that do
     // not contribute to it.
     bool may_place_best_effort_task(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
@@ -367,8 +403,11 @@
     // Does the work that is due at an interval and not with each decision.
     void maintain_runs(clock_reading clock);
     void release_expired_runs(time_point now);
-    void repeat_orders(upstream_ledger& upstream, time_point now, bool may_start,
-                       std::vector<upstream_order>& orders);
+    // Sends the orders again whose time has come.
+    void repeat_orders(time_point now, bool may_start, std::vector<upstream_order>& orders);
+    // The same for one upstream. Returns whether it has further orders to send later.
+    bool repeat_orders_of(upstream_ledger& upstream, time_point now, bool may_start,
+                          std::vector<upstream_order>& orders);
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
@@ -377,25 +416,45 @@
     void place_step(job_record& job, occurrence_record& occurrence, std::uint32_t step, time_point now,
                     cell_decisions& decisions);
     void place_gang(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
+
+    // Search for upstreams (cell_search.cpp)
     std::optional<placement> choose_upstream(const job_record& job, const step_ref& step,
                                              const task_record& task, time_point now);
-    // Collects the upstreams on which any task may start in this decision.
-    void collect_usable_upstreams(time_point now);
+    // The placement of tasks on the upstream may have become possible, impossible, cheaper or dearer.
+    void mark_changed(const upstream_ledger& upstream);
+    // Applies the marked changes to the index.
+    void update_index(time_point now);
+    static bool is_usable(const upstream_ledger& upstream, time_point now);
+    step_terms make_terms(const job_record& job, const step_ref& step, time_point now);
+    // Continues the search for the step, or begins one.
+    void resume_search(const job_record& job, const step_ref& step, const unplaced_kind& wanted,
+                       time_point now);
+    void begin_search(step_terms terms, const unplaced_kind& wanted, time_point now);
+    // Evaluates the upstream for the search.
+    void add_candidate(upstream_index::slot_number slot, time_point now);
+    // Evaluates further upstreams until no other one can be cheaper than the first candidate.
+    void find_first_candidate(time_point now);
+    // Returns the upstream among the candidates that is cheapest for the task, with the costs that depend on
+    // the task.
+    upstream_ledger* choose_candidate(const task_record& task, const step_tickets* tickets, time_point now);
+    // The kind of the task, as it is recorded if it fits nowhere.
+    unplaced_kind make_kind(const job_record& job, const step_spec& spec) const;
+    // The last search that found no room for such a task.
+    const unplaced_kind* find_unplaced(const unplaced_kind& wanted) const;
+    void record_unplaced(unplaced_kind wanted, time_point now);
+    // Returns the cost of a task of the step on the upstream, or nothing if it may not start there.
+    std::optional<double> evaluate(const upstream_ledger& upstream, const step_terms& terms, time_point now);
     // Whether a usable upstream may run a task of the step and has room for it.
-    bool has_room_for(const upstream_ledger& upstream, const job_record& job, const step_ref& step,
-                      const std::string& service) const;
-    // Decides whether a task of the step may be placed on the upstream of the candidate, and at which cost.
-    void evaluate(candidate& option, const job_record& job, const step_ref& step, const std::string& service,
-                  time_point now);
-    const std::vector<candidate>& get_candidates(const job_record& job, const step_ref& step, time_point now);
-    double get_cost(const upstream_ledger& upstream, const step_spec& spec, double gain);
-    best_effort_use get_best_effort_use(const upstream_ledger& upstream, const step_spec& spec);
+    static bool has_room_for(const upstream_ledger& upstream, const step_terms& terms);
+
+    // Costs (cell_costs.cpp)
+    static cost_bounds get_cost_bounds(const upstream_ledger& upstream);
+    static double get_cost(const upstream_ledger& upstream, const step_terms& terms, double gain);
+    static best_effort_use get_best_effort_use(const upstream_ledger& upstream, const step_terms& terms);
     // The lowest gain for which a best-effort task starts, so that it waits if better upstreams were offered
     // recently.
     double get_min_gain(image_index image, time_point now);
     void record_gain(image_index image, double gain, time_point now);
-    double get_best_effort_cost(const upstream_ledger& upstream, double gain) const;
-    double get_serving_cost(const upstream_ledger& upstream, const step_spec& spec);
     void start_task(job_record& job, const task_ref& task, const placement& chosen, std::uint64_t run,
                     time_point now, cell_decisions& decisions);
     void request_advice(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
@@ -428,18 +487,23 @@
     std::map<step_ref, tail_base, step_order> tail_bases_;
     std::map<image_index, best_gain> best_gains_;
     std::vector<upstream_order> queued_orders_;
-    std::vector<unplaced_size> unplaced_;
+    // Kinds of tasks that wait for room.
+    std::vector<unplaced_kind> unplaced_;
+    upstream_index index_;
+    // Slots of upstreams with orders to send again, with best-effort tasks that may have to be moved, and of
+    // those that take no task for a limited time.
+    std::vector<upstream_index::slot_number> order_slots_;
+    std::vector<upstream_index::slot_number> slow_slots_;
+    std::vector<upstream_index::slot_number> blocked_slots_;
+    step_search search_;
     // Valid within one decision.
     std::size_t starts_left_ = 0;
     bool has_held_starts_ = false;
     std::uint64_t evaluated_placements_ = 0;
-    std::vector<upstream_ledger*> usable_upstreams_;
     // Number of the current decision. The views of earlier ones are kept for their memory only.
     std::uint64_t decision_ = 0;
-    std::unordered_map<const upstream_ledger*, best_effort_view> best_effort_views_;
-    std::vector<candidate> candidates_;
-    step_ref candidates_step_;
-    time_point candidates_at_;
+    // By slot of the upstream.
+    std::vector<best_effort_view> best_effort_views_;
     time_point next_maintenance_;
 };
 
--- /dev/null
+++ b/src/version/cell_search.cpp
@@ -0,0 +1,263 @@
+// Finds the upstream on which the next task of a step starts; see cell_scheduler.hpp.
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+namespace {
+
+// Tickets that expire sooner are not used, since the start order has to arrive while they are valid.
+constexpr std::chrono::milliseconds ticket_margin{250};
+// Cost of an upstream on which the task has failed or made no progress, in units of its processors.
+constexpr double avoided_cost = 2.0;
+
+bool is_avoided(const task_record& task, const upstream_id& upstream) {
+    return std::find(task.avoided.begin(), task.avoided.end(), upstream) != task.avoided.end();
+}
+
+std::uint32_t count_runs_of_step(const upstream_ledger& upstream, const step_ref& step) {
+    return static_cast<std::uint32_t>(
+        std::count_if(upstream.runs.begin(), upstream.runs.end(),
+                      [&](const auto& entry) { return entry.first.first.is_in_step(step); }));
+}
+
+bool has_finite_runs(const upstream_ledger& upstream) {
+    return std::any_of(upstream.runs.begin(), upstream.runs.end(),
+                       [](const auto& entry) { return !entry.second.is_long_running; });
+}
+
+placement_kind get_kind(const step_spec& spec) {
+    if (spec.is_best_effort) {
+        return placement_kind::best_effort;
+    }
+    return spec.target_tail_ms > 0 ? placement_kind::serving : placement_kind::reserved;
+}
+
+}  // namespace
+
+void cell_scheduler::mark_changed(const upstream_ledger& upstream) {
+    index_.mark_changed(upstream.slot);
+    best_effort_views_[upstream.slot].decision = 0;
+}
+
+bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) {
+    return upstream.is_listed && upstream.is_recorded && upstream.has_responded &&
+           !upstream.is_unresponsive && !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
+}
+
+void cell_scheduler::update_index(time_point now) {
+    for (const auto slot : index_.take_marked()) {
+        const auto& upstream = index_.get_upstream(slot);
+        if (is_usable(upstream, now)) {
+            index_.update(slot, get_cost_bounds(upstream));
+            continue;
+        }
+        index_.update(slot, std::nullopt);
+        if (upstream.health.is_blocked(now)) {
+            blocked_slots_.push_back(slot);
+        }
+    }
+}
+
+std::optional<cell_scheduler::placement> cell_scheduler::choose_upstream(const job_record& job,
+                                                                         const step_ref& ref,
+                                                                         const task_record& task,
+                                                                         time_point now) {
+    const auto& spec = job.job->spec.steps[ref.step];
+    const auto wanted = make_kind(job, spec);
+    if (const auto* known = find_unplaced(wanted); known != nullptr && known->decision == decision_) {
+        return std::nullopt;
+    }
+    const auto* queue = find_queue(job);
+    const bool needs_ticket = queue != nullptr && queue->advice.has_value();
+    const auto tickets = tickets_.find(ref);
+    const bool has_tickets = tickets != tickets_.end() && now + ticket_margin < tickets->second.valid_until;
+    if (needs_ticket && !has_tickets) {
+        return std::nullopt;
+    }
+    resume_search(job, ref, wanted, now);
+    auto* upstream = choose_candidate(task, needs_ticket ? &tickets->second : nullptr, now);
+    if (upstream == nullptr) {
+        const bool is_suspect = !task.crashed_runs.empty();
+        if (spec.required_label.empty() && spec.max_per_upstream == 0 && !needs_ticket && !is_suspect) {
+            record_unplaced(wanted, now);
+        }
+        return std::nullopt;
+    }
+    return placement{upstream, needs_ticket ? tickets->second.tickets.at(upstream->entry.id) : std::string()};
+}
+
+cell_scheduler::unplaced_kind cell_scheduler::make_kind(const job_record& job, const step_spec& spec) const {
+    unplaced_kind kind;
+    kind.service = get_service(job);
+    kind.size = spec.size;
+    kind.image = spec.is_best_effort ? spec.image : std::string();
+    kind.is_best_effort = spec.is_best_effort;
+    return kind;
+}
+
+const cell_scheduler::unplaced_kind* cell_scheduler::find_unplaced(const unplaced_kind& wanted) const {
+    const unplaced_kind* last = nullptr;
+    for (const auto& kind : unplaced_) {
+        const bool is_later = last == nullptr || kind.decision > last->decision ||
+                              (kind.decision == last->decision && kind.revision > last->revision);
+        if (is_later && kind.covers(wanted)) {
+            last = &kind;
+        }
+    }
+    return last;
+}
+
+void cell_scheduler::record_unplaced(unplaced_kind wanted, time_point now) {
+    // An upstream with room that the task may not use, or with a gain that is a little too low, may be used
+    // in the next decision although it has not changed.
+    const bool may_fit_soon = !search_.candidates.empty() || search_.has_low_gains;
+    wanted.revision = may_fit_soon ? 0 : search_.revision;
+    wanted.decision = decision_;
+    wanted.searched_at = now;
+    std::erase_if(unplaced_, [&](const unplaced_kind& kind) { return wanted.covers(kind); });
+    unplaced_.push_back(std::move(wanted));
+}
+
+cell_scheduler::step_terms cell_scheduler::make_terms(const job_record& job, const step_ref& step,
+                                                      time_point now) {
+    step_terms terms;
+    terms.spec = &job.job->spec.steps[step.step];
+    terms.step = step;
+    terms.service = get_service(job);
+    terms.kind = get_kind(*terms.spec);
+    terms.image = tail_model_.get_index(terms.spec->image);
+    terms.min_gain = get_min_gain(terms.image, now);
+    return terms;
+}
+
+void cell_scheduler::resume_search(const job_record& job, const step_ref& step, const unplaced_kind& wanted,
+                                   time_point now) {
+    if (search_.decision != decision_ || search_.terms.step != step) {
+        begin_search(make_terms(job, step, now), wanted, now);
+    }
+}
+
+void cell_scheduler::begin_search(step_terms terms, const unplaced_kind& wanted, time_point now) {
+    update_index(now);
+    const auto& ranking = index_.get_ranking(terms.kind);
+    search_.decision = decision_;
+    search_.terms = std::move(terms);
+    search_.revision = index_.get_revision();
+    search_.candidates.clear();
+    search_.chosen.reset();
+    search_.has_low_gains = false;
+    search_.next = ranking.begin();
+    search_.end = ranking.end();
+    const auto* known = find_unplaced(wanted);
+    if (known == nullptr || known->revision == 0) {
+        return;
+    }
+    // Only upstreams that have changed since an earlier search can have room.
+    search_.next = search_.end;
+    std::vector<upstream_index::slot_number> changed;
+    index_.collect_changed_since(known->revision, changed);
+    for (const auto slot : changed) {
+        add_candidate(slot, now);
+    }
+}
+
+void cell_scheduler::add_candidate(upstream_index::slot_number slot, time_point now) {
+    if (const auto cost = evaluate(index_.get_upstream(slot), search_.terms, now)) {
+        search_.candidates.push_back({*cost, slot});
+        std::push_heap(search_.candidates.begin(), search_.candidates.end(), std::greater<>());
+    }
+}
+
+void cell_scheduler::find_first_candidate(time_point now) {
+    if (search_.chosen) {
+        add_candidate(*search_.chosen, now);
+        search_.chosen.reset();
+    }
+    while (search_.next != search_.end &&
+           (search_.candidates.empty() || *search_.next < search_.candidates.front())) {
+        add_candidate(search_.next->slot, now);
+        ++search_.next;
+    }
+}
+
+upstream_ledger* cell_scheduler::choose_candidate(const task_record& task, const step_tickets* tickets,
+                                                  time_point now) {
+    auto& candidates = search_.candidates;
+    std::vector<candidate> passed;
+    std::optional<candidate> best;
+    while (true) {
+        find_first_candidate(now);
+        if (candidates.empty() || (best && *best < candidates.front())) {
+            break;
+        }
+        std::pop_heap(candidates.begin(), candidates.end(), std::greater<>());
+        const auto first = candidates.back();
+        candidates.pop_back();
+        passed.push_back(first);
+        const auto& upstream = index_.get_upstream(first.slot);
+        const auto& id = upstream.entry.id;
+        if ((tickets != nullptr && !tickets->tickets.contains(id)) || !may_share(upstream, task)) {
+            continue;
+        }
+        const auto task_cost = (is_avoided(task, id) ? avoided_cost : 0.0) + get_crash_cost(upstream, task);
+        const candidate option{first.cost + task_cost, first.slot};
+        if (!best || option < *best) {
+            best = option;
+        }
+    }
+    for (const auto& option : passed) {
+        if (!best || option.slot != best->slot) {
+            candidates.push_back(option);
+            std::push_heap(candidates.begin(), candidates.end(), std::greater<>());
+        }
+    }
+    if (!best) {
+        return nullptr;
+    }
+    search_.chosen = best->slot;
+    return &index_.get_upstream(best->slot);
+}
+
+std::optional<double> cell_scheduler::evaluate(const upstream_ledger& upstream, const step_terms& terms,
+                                               time_point now) {
+    ++evaluated_placements_;
+    if (!has_room_for(upstream, terms)) {
+        return std::nullopt;
+    }
+    double gain = 1.0;
+    if (terms.kind == placement_kind::best_effort) {
+        const auto use = get_best_effort_use(upstream, terms);
+        if (!may_place_best_effort_task(upstream, use, now)) {
+            return std::nullopt;
+        }
+        gain = get_best_effort_gain(upstream, use, now);
+        record_gain(use.image, gain, now);
+        if (gain < terms.min_gain) {
+            search_.has_low_gains = search_.has_low_gains || gain >= min_useful_best_effort_gain;
+            return std::nullopt;
+        }
+    }
+    return get_cost(upstream, terms, gain);
+}
+
+bool cell_scheduler::has_room_for(const upstream_ledger& upstream, const step_terms& terms) {
+    const auto& spec = *terms.spec;
+    const auto& entry = upstream.entry;
+    if (!spec.get_reserved_size().is_within(upstream.get_room()) || upstream.unknown_size_runs > 0) {
+        return false;
+    }
+    if (entry.service != terms.service || !entry.has_label(spec.required_label)) {
+        return false;
+    }
+    if (upstream.health.is_on_trial() && has_finite_runs(upstream)) {
+        return false;
+    }
+    return spec.max_per_upstream == 0 || count_runs_of_step(upstream, terms.step) < spec.max_per_upstream;
+}
+
+}  // namespace jacinthvane
