Do not count the length of a decision as queued work when polls are spaced out

Cause: the pause between two polls of an upstream grows when timers are late. Rare polls read ends late, more tasks wait, and the next decision takes longer: a loop that keeps itself up, whatever began it.

Change: the part of a timer's delay that the last decision caused does not count.

--- a/src/process/work_pacer.cpp
+++ b/src/process/work_pacer.cpp
@@ -18,13 +18,28 @@
 constexpr milliseconds increase_interval{300};
 // Least time between two polls of one upstream, of which the second is due to bring an end.
 constexpr milliseconds expected_end_pause{150};
+constexpr milliseconds min_decision_pause{20};
+constexpr milliseconds max_decision_pause{150};
+// The pause after a decision is this many times as long as the decision, within its bounds.
+constexpr int pause_to_decision_ratio = 5;
 constexpr int growth_percent = 140;
 constexpr int decay_percent = 98;
 
 }  // namespace
 
+milliseconds get_decision_pause(time_point::duration decision) {
+    const auto pause = std::chrono::duration_cast<milliseconds>(decision) * pause_to_decision_ratio;
+    return std::clamp(pause, min_decision_pause, max_decision_pause);
+}
+
+void work_pacer::add_decision(time_point begin, time_point end) {
+    decision_begin_ = begin;
+    decision_end_ = end;
+}
+
 void work_pacer::add_timer(time_point due, time_point now) {
-    const auto late = now - due;
+    const auto held_up = std::min(decision_end_, now) - std::max(decision_begin_, due);
+    const auto late = now - due - std::max(held_up, time_point::duration::zero());
     if (late >= late_after && now >= next_increase_) {
         pause_ = std::clamp(pause_ * growth_percent / 100, first_pause, max_pause);
         next_increase_ = now + increase_interval;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -19,12 +19,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds min_order_timeout{600};
-// Minimum pause between decisions, so that changes that arrive together are decided together. Longer
-// decisions are followed by longer pauses: pause_to_work_ratio times the duration of the decision, up to the
-// maximum.
-constexpr milliseconds decision_interval{20};
-constexpr milliseconds max_decision_interval{150};
-constexpr int pause_to_work_ratio = 5;
 // Interval at which deadlines are checked when nothing else changes.
 constexpr milliseconds idle_interval{100};
 
@@ -365,8 +359,10 @@
             }
             ++decisions_;
             held_decisions_ += scheduler_.has_held_starts() ? 1 : 0;
-            load_.add_decision(std::chrono::steady_clock::now() - started_at,
-                               scheduler_.get_evaluated_placements() - placements, starts);
+            const auto ended_at = std::chrono::steady_clock::now();
+            load_.add_decision(ended_at - started_at, scheduler_.get_evaluated_placements() - placements,
+                               starts);
+            pacer_.add_decision(started_at, ended_at);
         }
         for (std::size_t i = 0; i < decisions.orders.size(); ++i) {
             spawn("send_order", send_order(std::move(decisions.orders[i]), addresses[i]));
@@ -375,9 +371,7 @@
             spawn("fetch_advice", fetch_advice(std::move(request)));
         }
         const auto now = std::chrono::steady_clock::now();
-        const auto min_pause =
-            std::chrono::duration_cast<milliseconds>(now - started_at) * pause_to_work_ratio;
-        co_await wait_until(now + std::clamp(min_pause, decision_interval, max_decision_interval));
+        co_await wait_until(now + get_decision_pause(now - started_at));
         co_await wake_.wait(seen, now + idle_interval);
     }
 }
--- a/tests/work_pacer_test.cpp
+++ b/tests/work_pacer_test.cpp
@@ -38,6 +38,23 @@
     BOOST_TEST((pacer.get_pause() <= milliseconds(1000)));
 }
 
+// Guards against an owner that polls rarely because single decisions take long: nothing is queued behind
+// them, and rare polls make the next decisions longer still.
+BOOST_AUTO_TEST_CASE(a_long_decision_is_no_queue) {
+    jacinthvane::work_pacer pacer;
+    auto now = start;
+    for (int i = 0; i < 20; ++i) {
+        now += milliseconds(50);
+        pacer.add_decision(now - milliseconds(10), now + milliseconds(60));
+        pacer.add_timer(now, now + milliseconds(61));
+    }
+    BOOST_TEST(pacer.get_pause().count() == 0);
+    // What the decision did not cause still counts.
+    pacer.add_decision(now, now + milliseconds(60));
+    pacer.add_timer(now, now + milliseconds(110));
+    BOOST_TEST(pacer.get_pause().count() > 0);
+}
+
 // Guards against a process that stays slow after a short overload.
 BOOST_AUTO_TEST_CASE(pauses_end_after_an_overload) {
     jacinthvane::work_pacer pacer;
