--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "experiment/cell_bench.hpp"
 #include "experiment/journal_bench.hpp"
 #include "experiment/ledger_bench.hpp"
 #include "experiment/member_bench.hpp"
@@ -69,6 +70,21 @@
                             .seconds = parsed["seconds"].as<int>()});
 }
 
+int run_cell_command(int argc, char** argv) {
+    cxxopts::Options options("jacinthvane_experiment cell",
+                             "Measures the decisions of a cell against upstreams in memory");
+    options.add_options()("upstreams", "Number of upstreams",
+                          cxxopts::value<std::size_t>()->default_value("890"))(
+        "reports", "Reports between two decisions", cxxopts::value<std::size_t>()->default_value("40"))(
+        "jobs", "Jobs that begin between two decisions", cxxopts::value<std::size_t>()->default_value("1"))(
+        "decisions", "Number of decisions", cxxopts::value<std::size_t>()->default_value("500"));
+    const auto parsed = options.parse(argc, argv);
+    return run_cell_bench({.upstreams = parsed["upstreams"].as<std::size_t>(),
+                           .reports = parsed["reports"].as<std::size_t>(),
+                           .jobs = parsed["jobs"].as<std::size_t>(),
+                           .decisions = parsed["decisions"].as<std::size_t>()});
+}
+
 std::vector<std::string> to_arguments(int argc, char** argv) {
     return {argv + 1, argv + argc};
 }
@@ -100,6 +116,7 @@
     {"ledger", run_ledger_command, "start operations, task lists and memory of the ledger at four sizes"},
     {"member", run_member_command,
      "traffic, CPU time, memory and convergence rounds of the membership at four sizes"},
+    {"cell", run_cell_command, "time of a cell's decisions and reports, without any network"},
     {"owner", run_owner_command, "CPU time of a cell's owner against upstreams on loopback"},
 };
 
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 
 #include "process/job_order.hpp"
 #include "version/cell_scheduler.hpp"
@@ -13,8 +12,6 @@
 
 // Each fencing token has its own range of 2^20 run numbers, so a later owner's numbers are higher.
 constexpr std::uint32_t run_number_bits = 20;
-// Tickets that expire sooner are not used, since the start order has to arrive while they are valid.
-constexpr std::chrono::milliseconds ticket_margin{250};
 // How long a search that found no room stays valid for upstreams that do not change.
 constexpr std::chrono::milliseconds max_search_age{2000};
 // Upstreams named in one request to the advice service.
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -247,6 +247,8 @@
     };
     // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
+    // Tickets that expire sooner are not used, since the start order has to arrive while they are valid.
+    static constexpr std::chrono::milliseconds ticket_margin{250};
     // What the gain of a further best-effort task on an upstream is computed from. The same for all tasks, so
     // one decision computes it once for each upstream.
     struct best_effort_view {
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-// Tickets that expire sooner are not used, since the start order has to arrive while they are valid.
-constexpr std::chrono::milliseconds ticket_margin{250};
 // Cost of an upstream on which the task has failed or made no progress, in units of its processors.
 constexpr double avoided_cost = 2.0;
 
