Send an accepted stop order again if its run does not end

The run then went on for good if the order had no effect, or if another incarnation had accepted it.

--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -49,8 +49,12 @@
     const auto& id = std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
     const auto found = upstreams_.find(id);
     const bool is_limit = std::holds_alternative<cpu_limit_order>(order);
-    if (found != upstreams_.end() && !is_limit && response.result != order_result::accepted) {
-        expect_orders(found->second);
+    if (found == upstreams_.end() || is_limit) {
+        return;
+    }
+    // Also an accepted stop order is sent again if the run does not end.
+    expect_orders(found->second);
+    if (response.result != order_result::accepted) {
         mark_changed(found->second);
     }
 }
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -126,6 +126,24 @@
     BOOST_TEST(starts <= 10U);
 }
 
+// Guards against a run that goes on for good because its stop order was accepted, but had no effect.
+BOOST_AUTO_TEST_CASE(repeats_an_accepted_stop_until_the_run_ends) {
+    cell_fixture cell(1);
+    cell.run_for(milliseconds(100));
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}), 60000);
+    cell.run_for(milliseconds(200));
+    cell.scheduler->cancel_job(job_id("job"), cell.read_clock());
+    for (int i = 0; i < 2; ++i) {
+        const auto decisions = cell.scheduler->decide(cell.read_clock(), true);
+        BOOST_REQUIRE(decisions.orders.size() == 1U);
+        BOOST_TEST(std::holds_alternative<stop_order>(decisions.orders[0]));
+        const order_response accepted{order_result::accepted, cell.read_clock().unix_ms};
+        cell.scheduler->apply_order_response(decisions.orders[0], accepted, cell.read_clock());
+        BOOST_TEST(cell.scheduler->decide(cell.read_clock(), true).orders.empty());
+        cell.clock->advance(seconds(4));
+    }
+}
+
 // Guards against repeated start orders that go out beside the bound on start orders and fill a full link.
 BOOST_AUTO_TEST_CASE(repeats_no_more_starts_than_orders_can_be_sent) {
     cell_fixture cell(4);
