Log what holds tasks back after a takeover, and blocks of upstreams

The log could not tell a task that a takeover holds back from one that finds no usable upstream (hypotheses 1 and 2 of docs/incidents/lasting-tasks.md). cell_summary now has held, unresolved and blocked; takeover_resolved and upstream_blocked are new. No decision is changed.

--- a/src/process/cell_summary.hpp
+++ b/src/process/cell_summary.hpp
@@ -12,6 +12,12 @@
     std::size_t waiting_serving = 0;
     std::size_t waiting_best_effort = 0;
     std::size_t waiting_others = 0;
+    // Those of them that wait because an earlier owner may have a run of the task on an upstream that has not
+    // responded to this owner, and such upstreams.
+    std::size_t held_tasks = 0;
+    std::size_t unresolved_upstreams = 0;
+    // Listed upstreams that take no task for a while after failures.
+    std::size_t blocked_upstreams = 0;
     // Upstreams that can take work; those of them that are limited to one run at a time after failures; and
     // those where a latency target is exceeded.
     std::size_t usable_upstreams = 0;
--- a/src/process/upstream_health.cpp
+++ b/src/process/upstream_health.cpp
@@ -16,20 +16,21 @@
 
 }  // namespace
 
-void upstream_health::record_failure(const job_id& job, bool failed_elsewhere, time_point now) {
+bool upstream_health::record_failure(const job_id& job, bool failed_elsewhere, time_point now) {
     if (failed_elsewhere) {
-        return;
+        return false;
     }
     ++failures_in_row_;
     failed_jobs_.insert(job);
     const bool is_failing = failures_in_row_ >= failures_to_block && failed_jobs_.size() >= jobs_to_block;
     if (!is_failing && !is_on_trial()) {
-        return;
+        return false;
     }
     blocked_until_ = now + first_block * (1U << std::min(blocks_, max_doublings));
     ++blocks_;
     failures_in_row_ = 0;
     failed_jobs_.clear();
+    return true;
 }
 
 void upstream_health::record_success() {
--- a/src/process/upstream_health.hpp
+++ b/src/process/upstream_health.hpp
@@ -14,14 +14,18 @@
 class upstream_health {
 public:
     // Records a run that failed or made no progress. A failure is ignored if the task has also failed on
-    // another upstream (failed_elsewhere), since the cause is then probably the job.
-    void record_failure(const job_id& job, bool failed_elsewhere, time_point now);
+    // another upstream (failed_elsewhere), since the cause is then probably the job. Returns whether a block
+    // begins with it.
+    bool record_failure(const job_id& job, bool failed_elsewhere, time_point now);
     void record_success();
 
     bool is_blocked(time_point now) const { return now < blocked_until_; }
     // Returns true after a block until a run succeeds. The upstream then gets only one run at a time.
     bool is_on_trial() const { return blocks_ > 0; }
     std::uint32_t get_failures() const { return failures_in_row_; }
+    time_point get_blocked_until() const { return blocked_until_; }
+    // Returns the number of blocks since a run last succeeded.
+    std::uint32_t get_blocks() const { return blocks_; }
 
 private:
     std::uint32_t failures_in_row_ = 0;
--- a/src/request/cell_load.cpp
+++ b/src/request/cell_load.cpp
@@ -58,7 +58,9 @@
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
                   << " waiting_serving=" << cell.waiting_serving
                   << " waiting_fillers=" << cell.waiting_best_effort
-                  << " waiting_others=" << cell.waiting_others << " usable=" << cell.usable_upstreams
+                  << " waiting_others=" << cell.waiting_others << " held=" << cell.held_tasks
+                  << " unresolved=" << cell.unresolved_upstreams << " blocked=" << cell.blocked_upstreams
+                  << " usable=" << cell.usable_upstreams
                   << " on_trial=" << cell.trial_upstreams << " crossed=" << cell.over_target_upstreams
                   << " capacity=" << cell.capacity_milli << " committed=" << cell.committed_milli
                   << " fillers=" << cell.running_best_effort << " filler_milli=" << cell.best_effort_milli
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include <glog/logging.h>
+
 #include "process/job_order.hpp"
 #include "version/cell_scheduler.hpp"
 
@@ -41,13 +43,13 @@
     update_index(now);
     std::erase_if(unplaced_,
                   [&](const unplaced_kind& kind) { return now - kind.searched_at > max_search_age; });
-    const bool is_resolved = is_takeover_resolved(now);
+    update_takeover(now);
     for (auto* job : sort_waiting_jobs(now)) {
         if (starts_left_ == 0) {
             has_held_starts_ = true;
             break;
         }
-        if (job->is_inherited && !is_resolved) {
+        if (job->is_inherited && !is_resolved_) {
             continue;
         }
         for (auto& [number, occurrence] : job->occurrences) {
@@ -61,6 +63,17 @@
     return decisions;
 }
 
+void cell_scheduler::update_takeover(time_point now) {
+    const bool is_resolved = is_takeover_resolved(now);
+    if (is_resolved == is_resolved_) {
+        return;
+    }
+    is_resolved_ = is_resolved;
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - owner_since_);
+    LOG(INFO) << "event=" << (is_resolved ? "takeover_resolved" : "takeover_unresolved")
+              << " token=" << token_ << " after_ms=" << since.count();
+}
+
 std::vector<job_record*> cell_scheduler::sort_waiting_jobs(time_point now) {
     std::vector<std::pair<job_rank, job_record*>> ranked;
     for (const auto& id : waiting_jobs_) {
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -250,12 +250,24 @@
 void cell_scheduler::fail_task(job_record& job, const task_ref& ref, upstream_ledger& upstream,
                                time_point now) {
     auto* task = job.find_task(ref);
-    upstream.health.record_failure(job.id, task->failures_in_row > 0, now);
+    record_failure(upstream, job.id, task->failures_in_row > 0, now);
     record_avoided_upstream(*task, upstream.entry.id);
     ++task->failures_in_row;
     requeue_task(job, ref, now + get_failure_delay(task->failures_in_row));
 }
 
+void cell_scheduler::record_failure(upstream_ledger& upstream, const job_id& job, bool failed_elsewhere,
+                                    time_point now) {
+    if (!upstream.health.record_failure(job, failed_elsewhere, now)) {
+        return;
+    }
+    const auto span =
+        std::chrono::duration_cast<std::chrono::milliseconds>(upstream.health.get_blocked_until() - now);
+    LOG(INFO) << "event=upstream_blocked upstream=" << upstream.entry.id.get() << " job=" << job.get()
+              << " for_ms=" << span.count() << " blocks=" << upstream.health.get_blocks()
+              << " runs=" << upstream.runs.size() << " token=" << token_;
+}
+
 void cell_scheduler::record_avoided_upstream(task_record& task, const upstream_id& upstream) {
     std::erase(task.avoided, upstream);
     task.avoided.push_back(upstream);
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -352,9 +352,12 @@
 }
 
 bool cell_scheduler::is_takeover_resolved(time_point now) const {
-    return std::none_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
-        return entry.second.may_have_inherited_runs && !entry.second.is_lost(now);
-    });
+    return std::none_of(upstreams_.begin(), upstreams_.end(),
+                        [&](const auto& entry) { return is_unresolved(entry.second, now); });
+}
+
+bool cell_scheduler::is_unresolved(const upstream_ledger& upstream, time_point now) {
+    return upstream.may_have_inherited_runs && !upstream.is_lost(now);
 }
 
 }  // namespace jacinthvane
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -310,6 +310,12 @@
     void begin_commit_batch();
     // Adds the waiting tasks to the summary (cell_summary.cpp).
     void count_waiting_tasks_by_kind(cell_summary& summary) const;
+    // Returns the number of waiting tasks that the takeover holds back.
+    std::size_t count_held_tasks(time_point now) const;
+    // Whether an earlier owner may have runs on the upstream that this owner does not know.
+    static bool is_unresolved(const upstream_ledger& upstream, time_point now);
+    // Records a run that failed or made no progress, and logs a block of the upstream that begins with it.
+    void record_failure(upstream_ledger& upstream, const job_id& job, bool failed_elsewhere, time_point now);
 
     // Crashes of upstreams (cell_crashes.cpp)
     // Counts the crash against the tasks that may have caused it, and fails the jobs of those that have. A
@@ -414,6 +420,8 @@
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
     // Decisions (cell_placement.cpp)
+    // Learns, and logs, whether the runs of earlier owners have become known, or unknown again.
+    void update_takeover(time_point now);
     std::vector<job_record*> sort_waiting_jobs(time_point now);
     void place_step(job_record& job, occurrence_record& occurrence, std::uint32_t step, time_point now,
                     cell_decisions& decisions);
@@ -501,6 +509,8 @@
     // Valid within one decision.
     std::size_t starts_left_ = 0;
     bool has_held_starts_ = false;
+    // Whether the takeover was resolved at the last decision.
+    bool is_resolved_ = false;
     std::uint64_t evaluated_placements_ = 0;
     // Number of the current decision. The views of earlier ones are kept for their memory only.
     std::uint64_t decision_ = 0;
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -27,6 +27,12 @@
     }
 }
 
+std::size_t count_waiting_tasks_of(const job_record& job) {
+    cell_summary summary;
+    count_waiting_tasks_of(job, summary);
+    return summary.waiting_serving + summary.waiting_best_effort + summary.waiting_others;
+}
+
 void count_upstream(const upstream_ledger& upstream, cell_summary& summary) {
     ++summary.usable_upstreams;
     summary.trial_upstreams += upstream.health.is_on_trial() ? 1 : 0;
@@ -62,11 +68,26 @@
     }
 }
 
+std::size_t cell_scheduler::count_held_tasks(time_point now) const {
+    if (is_takeover_resolved(now)) {
+        return 0;
+    }
+    std::size_t held = 0;
+    for (const auto& id : waiting_jobs_) {
+        const auto found = jobs_.find(id);
+        held += found != jobs_.end() && found->second.is_inherited ? count_waiting_tasks_of(found->second) : 0;
+    }
+    return held;
+}
+
 cell_summary cell_scheduler::get_summary(time_point now) const {
     cell_summary summary;
     summary.jobs = jobs_.size();
     count_waiting_tasks_by_kind(summary);
+    summary.held_tasks = count_held_tasks(now);
     for (const auto& [id, upstream] : upstreams_) {
+        summary.unresolved_upstreams += is_unresolved(upstream, now) ? 1 : 0;
+        summary.blocked_upstreams += upstream.is_listed && upstream.health.is_blocked(now) ? 1 : 0;
         const bool is_usable = upstream.is_listed && upstream.has_responded && !upstream.is_unresponsive &&
                                !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
         if (is_usable) {
