--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -13,6 +13,8 @@
 constexpr std::string_view cancel_suffix = "/cancel";
 // A job id cannot have this form, so the key never collides with that of a job.
 constexpr std::string_view takeover_name = "!takeover";
+// The same for the key of the locations.
+constexpr std::string_view location_mark_name = "!mark";
 // There is only one cell.
 constexpr std::string_view cell_name = "0";
 constexpr std::size_t max_upstreams = 20000;
@@ -113,6 +115,21 @@
     serialize_list(archive, known.entries, max_upstreams);
 }
 
+template <class Archive>
+void serialize(Archive& archive, task_location& location) {
+    archive(location.occurrence, location.step, location.index, location.upstream, location.run);
+}
+
+template <class Archive>
+void serialize(Archive& archive, run_locations& locations) {
+    serialize_list(archive, locations.tasks, max_tasks_per_job);
+}
+
+template <class Archive>
+void serialize(Archive& archive, location_mark& mark) {
+    archive(mark.is_complete);
+}
+
 template <class Archive>
 void serialize(Archive& archive, tail_snapshot::pair_weight& weight) {
     archive(weight.mean_milli, weight.variance_milli);
@@ -145,6 +162,13 @@
     return encode_with_format(upstreams);
 }
 
+std::string encode_record(const run_locations& locations) {
+    return encode_with_format(locations);
+}
+std::string encode_record(const location_mark& mark) {
+    return encode_with_format(mark);
+}
+
 std::string encode_record(const tail_snapshot& snapshot) {
     return encode_with_format(snapshot);
 }
@@ -180,6 +204,14 @@
     return decode_with_format<known_upstreams>(bytes, "list of known upstreams");
 }
 
+absl::StatusOr<run_locations> decode_run_locations(std::string_view bytes) {
+    return decode_with_format<run_locations>(bytes, "record of locations");
+}
+
+absl::StatusOr<location_mark> decode_location_mark(std::string_view bytes) {
+    return decode_with_format<location_mark>(bytes, "mark of the locations");
+}
+
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes) {
     auto snapshot = decode_with_format<tail_snapshot>(bytes, "record of learned tail latencies");
     if (!snapshot.ok()) {
@@ -207,6 +239,14 @@
 std::string make_progress_key(const job_id& id) {
     return std::string(progress_prefix) + id.get();
 }
+std::string make_location_key(const job_id& id) {
+    return std::string(location_prefix) + id.get();
+}
+
+std::string make_location_mark_key() {
+    return std::string(location_prefix) + std::string(location_mark_name);
+}
+
 std::string make_takeover_key() {
     return std::string(job_prefix) + std::string(takeover_name);
 }
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,14 @@
 
 enum class task_phase { waiting, active, done };
 
+// A run that an earlier owner may have started.
+struct earlier_run {
+    upstream_id upstream;
+    std::uint64_t run = 0;
+
+    bool operator==(const earlier_run&) const = default;
+};
+
 // In-memory state of one task.
 struct task_record {
     task_phase phase = task_phase::waiting;
@@ -23,6 +32,8 @@
     std::uint64_t last_run = 0;
     // Upstream of the active run.
     upstream_id upstream;
+    // For a waiting long-running task: the only run that an earlier owner may have left.
+    std::optional<earlier_run> inherited_run;
     // Numbers of the failed runs. Those of a gang are stored with its first member. For long-running tasks
     // the list is empty, since they may fail any number of times.
     std::vector<std::uint64_t> failed_runs;
@@ -73,6 +84,10 @@
     // True if the job was accepted by a previous owner, so that it may have runs that no upstream has
     // reported to this owner yet.
     bool is_inherited = false;
+    // For an inherited long-running job: the earlier runs of its tasks are known.
+    bool has_known_locations = false;
+    // The store may have a record of the locations of its runs.
+    bool has_stored_locations = false;
     bool has_started = false;
     // Final phase that is not committed to the store yet; queued means that there is none.
     job_phase pending_end = job_phase::queued;
--- /dev/null
+++ b/src/process/owner_history.cpp
@@ -0,0 +1,62 @@
+#include "process/owner_history.hpp"
+
+#include <algorithm>
+
+namespace jacinthvane {
+
+namespace {
+
+// Owners that are older act no more, since each took the cell some time after the one before.
+constexpr std::size_t max_owners = 16;
+
+}  // namespace
+
+void owner_history::record_owner(std::uint64_t token, const std::string& process, const std::string& address,
+                                 time_point now) {
+    if (token == 0 || (!owners_.empty() && token <= owners_.back().token)) {
+        return;
+    }
+    owners_.push_back({token, process, address, now});
+    if (owners_.size() > max_owners) {
+        owners_.erase(owners_.begin());
+    }
+}
+
+void owner_history::record_end(std::uint64_t token, time_point ended_by) {
+    for (auto& owner : owners_) {
+        if (owner.token == token) {
+            owner.ended_by = std::min(owner.ended_by, ended_by);
+        }
+    }
+}
+
+time_point owner_history::get_last_action_at(std::size_t position) const {
+    return std::min(owners_[position].ended_by, owners_[position + 1].seen_at + proof_window_);
+}
+
+time_point owner_history::get_last_action(std::uint64_t token) const {
+    time_point last;
+    for (std::size_t i = 0; i < owners_.size() && owners_[i].token <= token; ++i) {
+        // Owners that this process did not see had lost the cell when it saw this one.
+        const bool has_unseen = i == 0 ? owners_[i].token > 1 : owners_[i - 1].token + 1 < owners_[i].token;
+        if (has_unseen) {
+            last = std::max(last, owners_[i].seen_at + proof_window_);
+        }
+        if (i + 1 < owners_.size() && owners_[i].token < token) {
+            last = std::max(last, get_last_action_at(i));
+        }
+    }
+    return last;
+}
+
+std::vector<seen_owner> owner_history::get_possible_owners(std::uint64_t token, time_point now) const {
+    std::vector<seen_owner> possible;
+    for (std::size_t i = 0; i + 1 < owners_.size() && owners_[i].token < token; ++i) {
+        if (owners_[i].ended_by == time_point::max() && now < get_last_action_at(i)) {
+            possible.push_back(owners_[i]);
+        }
+    }
+    return possible;
+}
+
+}  // namespace jacinthvane
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -47,6 +47,8 @@
     time_point expected_end = time_point::max();
     // Tail latency that the task has to stay below; 0 means no target.
     std::int64_t target_tail_ms = 0;
+    // The start order is sent once the location of the run is durable.
+    bool awaits_record = false;
     // An order for the run was sent and has no response yet.
     bool is_order_sent = false;
     // A start order was sent and has no response yet, whatever the phase is now.
@@ -91,6 +93,10 @@
     // Earliest time of the next search for a better upstream.
     time_point next_move_check;
 
+    // Whether no start order for the run was ever sent.
+    bool is_unsent() const {
+        return phase == run_phase::starting && !is_order_sent && !is_start_in_flight && !has_unknown_start;
+    }
     // Whether the next incarnation of the upstream may have received the start order. One that this
     // incarnation has listed belongs to it, unless the order was sent again.
     bool may_be_in_next_incarnation() const {
@@ -142,6 +148,8 @@
     bool is_recorded = false;
     // The upstream has responded to this owner in its current incarnation.
     bool has_responded = false;
+    // When the current incarnation first responded to this owner.
+    time_point responded_at;
     // An earlier owner may have started runs there that no report has listed yet.
     bool may_have_inherited_runs = false;
     // The last poll got no response.
--- a/src/request/cell_commit.cpp
+++ b/src/request/cell_commit.cpp
@@ -32,9 +32,15 @@
         {make_commit_key(), std::to_string(claim_.row.token) + "/" + std::to_string(commit_number_), 0});
     for (const auto& entry : commit.jobs) {
         transaction.writes.push_back({make_progress_key(entry.job), encode_record(entry.progress), 0});
+        if (entry.locations) {
+            transaction.writes.push_back({make_location_key(entry.job), encode_record(*entry.locations), 0});
+        }
         if (!is_final(entry.progress.state)) {
             continue;
         }
+        if (entry.has_stored_locations) {
+            transaction.removals.push_back(make_location_key(entry.job));
+        }
         transaction.removals.push_back(make_job_key(entry.job));
         if (entry.progress.state == job_phase::cancelled) {
             transaction.removals.push_back(make_cancel_key(entry.job));
@@ -103,6 +109,9 @@
             LOG(INFO) << "event=store_returned token=" << claim_.row.token;
         }
         scheduler_.confirm_commit(commit);
+        if (scheduler_.take_recorded_starts()) {
+            wake_.notify_all();
+        }
         // Only the last commit of a batch makes ends durable, so the others would wake every poll for
         // nothing.
         if (!scheduler_.has_unfinished_batch()) {
--- a/src/request/cell_load.cpp
+++ b/src/request/cell_load.cpp
@@ -60,11 +60,11 @@
                   << " waiting_fillers=" << cell.waiting_best_effort
                   << " waiting_others=" << cell.waiting_others << " held=" << cell.held_tasks
                   << " unresolved=" << cell.unresolved_upstreams << " blocked=" << cell.blocked_upstreams
-                  << " usable=" << cell.usable_upstreams
-                  << " on_trial=" << cell.trial_upstreams << " crossed=" << cell.over_target_upstreams
-                  << " capacity=" << cell.capacity_milli << " committed=" << cell.committed_milli
-                  << " fillers=" << cell.running_best_effort << " filler_milli=" << cell.best_effort_milli
-                  << " paced_milli=" << cell.limited_cpu_milli << " used_milli=" << cell.used_milli;
+                  << " usable=" << cell.usable_upstreams << " on_trial=" << cell.trial_upstreams
+                  << " crossed=" << cell.over_target_upstreams << " capacity=" << cell.capacity_milli
+                  << " committed=" << cell.committed_milli << " fillers=" << cell.running_best_effort
+                  << " filler_milli=" << cell.best_effort_milli << " paced_milli=" << cell.limited_cpu_milli
+                  << " used_milli=" << cell.used_milli;
         LOG(INFO) << "event=owner_load token=" << claim_.row.token << " " << load;
     }
 }
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -44,6 +44,10 @@
 constexpr std::int64_t min_retry_after_ms = 1000;
 constexpr std::int64_t max_retry_after_ms = 30000;
 constexpr milliseconds max_contest_delay{800};
+constexpr std::size_t peer_connections = 2;
+// Timeout of a query to an earlier owner, and the pause before it is repeated.
+constexpr milliseconds process_query_timeout{500};
+constexpr milliseconds process_query_pause{200};
 
 live_peer make_peer(const entry_settings& settings, const std::string& process_name) {
     return {process_name, settings.peer_address, settings.place, settings.link_mbps,
@@ -59,9 +63,12 @@
       settings_(std::move(settings)),
       process_name_(std::move(process_name)),
       metrics_(counters),
+      started_at_(std::chrono::steady_clock::now()),
+      peers_(context, peer_connections),
       directory_(std::make_shared<peer_directory>(context, ports_.store, settings_.vm,
                                                   make_peer(settings_, process_name_),
-                                                  settings_.min_store_lease_ms)) {}
+                                                  settings_.min_store_lease_ms)),
+      history_(settings_.limits.proof_window) {}
 
 void cell_member::spawn(const char* name, awaitable<void> task) {
     spawn_task(context_, name, keep_alive(shared_from_this(), std::move(task)));
@@ -160,6 +167,9 @@
         }
     }
     std::lock_guard lock(mutex_);
+    if (row) {
+        history_.record_owner(row->token, row->owner, row->address, std::chrono::steady_clock::now());
+    }
     if (owner_row_ != row) {
         LOG(INFO) << "event=owner_seen token=" << (row ? row->token : 0)
                   << " owner=" << (row ? row->owner : "none") << " revision=" << item.revision;
@@ -401,6 +411,8 @@
             co_return false;
         }
         row = *decoded;
+        std::lock_guard lock(mutex_);
+        history_.record_owner(row.token, row.owner, row.address, std::chrono::steady_clock::now());
     }
     ++row.token;
     row.owner = process_name_;
@@ -440,19 +452,87 @@
     const cell_claim claim{row, revision, std::chrono::steady_clock::now()};
     const auto owner = std::make_shared<cell_owner>(
         context_, ports_, owner_limits{settings_.limits, settings_.link_mbps}, claim, metrics_);
+    report_process(row.token);
+    time_point last_earlier_action;
     {
         std::lock_guard lock(mutex_);
+        history_.record_owner(row.token, row.owner, row.address, claim.claimed_at);
+        last_earlier_action = history_.get_last_action(row.token);
         owner_ = owner;
         owner_row_ = row;
         lease_ = lease->id;
         cell_revision_ = revision;
     }
+    owner->set_last_earlier_action(last_earlier_action);
     owner->start(get_queues());
+    spawn("ask_earlier_owners", ask_earlier_owners(owner));
     spawn("publish_overload", publish_overload(owner));
     spawn("keep_lease", keep_lease(lease->id));
     co_return true;
 }
 
+process_report cell_member::report_process(std::uint64_t token) {
+    const auto uptime = std::chrono::steady_clock::now() - started_at_;
+    process_report report{process_name_, std::chrono::duration_cast<milliseconds>(uptime).count(), 0};
+    const auto owner = get_owner();
+    if (owner == nullptr) {
+        return report;
+    }
+    const auto own_token = owner->get_token();
+    if (own_token < token) {
+        owner->supersede(token);
+        std::lock_guard lock(mutex_);
+        history_.record_end(own_token, std::chrono::steady_clock::now());
+    }
+    report.acting_token = owner->is_over() ? 0 : own_token;
+    return report;
+}
+
+std::vector<seen_owner> cell_member::get_possible_owners(std::uint64_t token) const {
+    std::lock_guard lock(mutex_);
+    return history_.get_possible_owners(token, std::chrono::steady_clock::now());
+}
+
+time_point cell_member::get_last_earlier_action(std::uint64_t token) const {
+    std::lock_guard lock(mutex_);
+    return history_.get_last_action(token);
+}
+
+awaitable<void> cell_member::ask_earlier_owners(std::shared_ptr<cell_owner> owner) {
+    const auto token = owner->get_token();
+    while (!owner->is_over()) {
+        const auto possible = get_possible_owners(token);
+        if (possible.empty()) {
+            co_return;
+        }
+        for (const auto& earlier : possible) {
+            co_await ask_earlier_owner(earlier, token);
+        }
+        owner->set_last_earlier_action(get_last_earlier_action(token));
+        co_await wait_until(get_deadline(process_query_pause));
+    }
+}
+
+awaitable<void> cell_member::ask_earlier_owner(seen_owner earlier, std::uint64_t token) {
+    const auto query = make_process_query(token);
+    const auto response = co_await peers_.fetch(earlier.address, query, get_deadline(process_query_timeout));
+    if (!response.ok()) {
+        co_return;
+    }
+    const auto report = read_process_response(*response);
+    const auto now = std::chrono::steady_clock::now();
+    if (!report.ok() || (report->process == earlier.process && report->acting_token != 0)) {
+        co_return;
+    }
+    // A VM runs one process at a time, so the process before had ended when this one started.
+    const bool is_restarted = report->process != earlier.process;
+    const auto ended_by = is_restarted ? now - milliseconds(report->uptime_ms) : now;
+    LOG(INFO) << "event=earlier_owner_ended token=" << earlier.token << " owner=" << earlier.process
+              << " restarted=" << is_restarted << " uptime_ms=" << report->uptime_ms;
+    std::lock_guard lock(mutex_);
+    history_.record_end(earlier.token, ended_by);
+}
+
 // A lease that cannot be ended expires by itself, so a failure only delays the next owner.
 awaitable<void> cell_member::release_lease(std::uint64_t lease) {
     const auto status = co_await ports_.store.end_lease(lease, get_store_deadline());
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -4,14 +4,18 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "connection/async_signal.hpp"
 #include "connection/cell_records.hpp"
+#include "connection/http_client.hpp"
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
+#include "process/owner_history.hpp"
 #include "request/cell_owner.hpp"
 #include "request/config_follower.hpp"
 #include "request/peer_directory.hpp"
+#include "request/peer_queries.hpp"
 #include "version/entry_settings.hpp"
 #include "version/queue_index.hpp"
 
@@ -42,6 +46,9 @@
     std::int64_t get_retry_after_ms() const;
     // Whether this process can accept requests: a recent configuration is in force and the store responds.
     bool is_ready() const;
+    // Ends the ownership of this process if its token is lower than the given one, and reports on the
+    // process.
+    process_report report_process(std::uint64_t token);
     // Records the outcome of a store call that another component made; is_ready() uses it.
     void record_store_call(bool is_ok);
 
@@ -54,6 +61,11 @@
     awaitable<bool> take_cell();
     awaitable<bool> renew_claim();
     awaitable<bool> write_claim(cell_row row, std::uint64_t expected_revision);
+    // Learns from the earlier owners when they acted for the last time, as long as that may matter.
+    awaitable<void> ask_earlier_owners(std::shared_ptr<cell_owner> owner);
+    awaitable<void> ask_earlier_owner(seen_owner earlier, std::uint64_t token);
+    std::vector<seen_owner> get_possible_owners(std::uint64_t token) const;
+    time_point get_last_earlier_action(std::uint64_t token) const;
     awaitable<void> keep_lease(std::uint64_t lease);
     awaitable<void> release_lease(std::uint64_t lease);
     // Tells the other processes when this owner is overloaded, and when it no longer is.
@@ -74,12 +86,15 @@
     const entry_settings settings_;
     const std::string process_name_;
     metrics& metrics_;
+    const time_point started_at_;
+    http_client peers_;
     const std::shared_ptr<peer_directory> directory_;
     // Created by start, since its callbacks hold a weak reference to this object.
     std::shared_ptr<config_follower> configs_;
     mutable ordered_mutex mutex_{lock_rank::cell_member};
     std::shared_ptr<cell_owner> owner_;
     std::optional<cell_row> owner_row_;
+    owner_history history_;
     overload_notice overload_;
     bool is_stopping_ = false;
     std::uint64_t lease_ = 0;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -50,6 +50,18 @@
     scheduler_.set_queues(std::move(queues));
 }
 
+void cell_owner::supersede(std::uint64_t token) {
+    end("another process took the cell with token " + std::to_string(token));
+}
+
+void cell_owner::set_last_earlier_action(time_point last_action) {
+    {
+        std::lock_guard lock(mutex_);
+        scheduler_.set_last_earlier_action(last_action);
+    }
+    wake_.notify_all();
+}
+
 void cell_owner::spawn(const char* name, awaitable<void> task) {
     spawn_task(context_, name, keep_alive(shared_from_this(), std::move(task)));
 }
@@ -124,6 +136,10 @@
     return get_suspend_aware_now() < proven_at_ + limits_.proof_window;
 }
 
+bool cell_owner::may_act() const {
+    return !is_over_ && is_ownership_proven();
+}
+
 awaitable<void> cell_owner::run() {
     if (!co_await load()) {
         end("the proof of ownership expired before the jobs and upstreams were loaded");
@@ -188,6 +204,9 @@
     if (!progress_listing.ok()) {
         co_return false;
     }
+    if (!co_await load_locations()) {
+        co_return false;
+    }
     jobs_revision_ = job_listing->revision;
     std::map<job_id, job_progress> known;
     for (const auto& item : progress_listing->items) {
@@ -339,13 +358,14 @@
         const auto seen = wake_.get_count();
         const auto started_at = std::chrono::steady_clock::now();
         cell_decisions decisions;
+        bool has_commit_work = false;
         std::vector<std::string> addresses;
         {
             std::lock_guard lock(mutex_);
             const auto placements = scheduler_.get_evaluated_placements();
             std::uint64_t starts = 0;
-            decisions = scheduler_.decide(read_clock(), is_ownership_proven() && !is_stopping_,
-                                          link_.get_free_starts());
+            decisions = scheduler_.decide(read_clock(), may_act() && !is_stopping_, link_.get_free_starts());
+            has_commit_work = scheduler_.has_commit_work();
             for (const auto& order : decisions.orders) {
                 const auto& id =
                     std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
@@ -370,6 +390,10 @@
         for (auto& request : decisions.advice) {
             spawn("fetch_advice", fetch_advice(std::move(request)));
         }
+        if (has_commit_work) {
+            // Long-running tasks start once their locations are written.
+            progress_.notify_all();
+        }
         const auto now = std::chrono::steady_clock::now();
         co_await wait_until(now + get_decision_pause(now - started_at));
         co_await wake_.wait(seen, now + idle_interval);
@@ -378,7 +402,7 @@
 
 bool cell_owner::is_start_pending(const start_order& order) const {
     std::lock_guard lock(mutex_);
-    return scheduler_.is_start_pending(order) && is_ownership_proven();
+    return scheduler_.is_start_pending(order) && may_act();
 }
 
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -65,6 +65,11 @@
     // Starts no more runs, and ends once the pending progress is written or the deadline has passed.
     awaitable<void> stop(time_point deadline);
 
+    // Ends at once, since another process owns the cell with this higher token.
+    void supersede(std::uint64_t token);
+    // See cell_scheduler.
+    void set_last_earlier_action(time_point last_action);
+
     bool is_over() const;
     // Whether the jobs are loaded and ownership has not ended, so that queries about them can be answered.
     bool is_loaded() const;
@@ -86,6 +91,8 @@
     awaitable<void> run();
     awaitable<bool> load();
     awaitable<bool> load_jobs();
+    awaitable<bool> load_locations();
+    void apply_loaded_locations();
     awaitable<bool> load_upstreams();
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
@@ -115,6 +122,8 @@
     awaitable<bool> write_commit(progress_commit commit);
     awaitable<bool> resolve_commit();
     awaitable<bool> write_known_upstreams();
+    // Whether the locations in the store have become complete, which the next write of the list records.
+    bool update_location_mark();
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
     awaitable<void> log_summaries();
@@ -145,6 +154,8 @@
     void record_ownership_proof(time_point sent_at);
     // Whether the last proof is recent enough to give orders.
     bool is_ownership_proven() const;
+    // Whether orders and renewals may be sent. Called with the mutex held, so none is after the end.
+    bool may_act() const;
     void end(const std::string& reason);
     std::string get_address(const upstream_id& id) const;
 
@@ -181,6 +192,13 @@
     std::uint64_t commit_number_ = 0;
     std::uint64_t upstreams_revision_ = 0;
     std::size_t recorded_upstreams_ = 0;
+    // The stored locations, and the revision of their mark when this owner loaded them.
+    std::map<job_id, run_locations> loaded_locations_;
+    location_mark loaded_mark_;
+    std::uint64_t loaded_mark_revision_ = 0;
+    bool has_applied_locations_ = false;
+    // The mark that belongs to the list in the store.
+    location_mark mark_;
     tail_snapshot written_tails_;
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -46,10 +46,63 @@
             }
         }
     }
+    apply_loaded_locations();
     apply_upstream_changes(*listing, true);
     co_return co_await write_known_upstreams();
 }
 
+awaitable<bool> cell_owner::load_locations() {
+    const std::string prefix(location_prefix);
+    const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
+    if (!listing.ok()) {
+        co_return false;
+    }
+    loaded_locations_.clear();
+    for (const auto& item : listing->items) {
+        if (item.key == make_location_mark_key()) {
+            const auto mark = decode_location_mark(item.value);
+            loaded_mark_ = mark.ok() ? *mark : location_mark{};
+            loaded_mark_revision_ = item.revision;
+            continue;
+        }
+        auto locations = decode_run_locations(item.value);
+        if (!locations.ok()) {
+            LOG(ERROR) << "event=locations_unreadable key=" << item.key << " error=\""
+                       << locations.status().message() << "\"";
+            // One job whose runs are unknown makes all of them unknown, since its record may name any
+            // upstream.
+            loaded_mark_.is_complete = false;
+            loaded_mark_revision_ = 0;
+            co_return true;
+        }
+        loaded_locations_.emplace(job_id(item.key.substr(prefix.size())), std::move(*locations));
+    }
+    co_return true;
+}
+
+void cell_owner::apply_loaded_locations() {
+    if (std::exchange(has_applied_locations_, true)) {
+        return;
+    }
+    // Owners of earlier versions write the list without the mark, and start tasks without a record.
+    const bool is_recorded = upstreams_revision_ == loaded_mark_revision_;
+    mark_.is_complete = upstreams_revision_ == 0 || (is_recorded && loaded_mark_.is_complete);
+    LOG(INFO) << "event=locations_loaded token=" << claim_.row.token << " jobs=" << loaded_locations_.size()
+              << " complete=" << mark_.is_complete;
+    std::lock_guard lock(mutex_);
+    scheduler_.set_inherited_locations(std::exchange(loaded_locations_, {}), mark_.is_complete);
+}
+
+bool cell_owner::update_location_mark() {
+    std::lock_guard lock(mutex_);
+    if (mark_.is_complete || !scheduler_.is_takeover_over(std::chrono::steady_clock::now())) {
+        return false;
+    }
+    scheduler_.complete_locations();
+    mark_.is_complete = scheduler_.are_locations_complete();
+    return mark_.is_complete;
+}
+
 void cell_owner::apply_upstream_changes(const upstream_changes& changes, bool is_listing) {
     std::lock_guard lock(mutex_);
     const auto now = std::chrono::steady_clock::now();
@@ -87,7 +140,8 @@
     store_transaction transaction;
     transaction.conditions = {{make_cell_key(), claim_.row_revision},
                               {make_upstreams_key(), upstreams_revision_}};
-    transaction.writes = {{make_upstreams_key(), encode_record(known), 0}};
+    transaction.writes = {{make_upstreams_key(), encode_record(known), 0},
+                          {make_location_mark_key(), encode_record(mark_), 0}};
     const auto sent_at = get_suspend_aware_now();
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     if (!result.ok()) {
@@ -149,7 +203,8 @@
         }
         revision = changes->revision;
         apply_upstream_changes(*changes, is_listing);
-        while (is_recorded_list_outdated() && !is_over() && !co_await write_known_upstreams()) {
+        bool is_outdated = update_location_mark() || is_recorded_list_outdated();
+        while (is_outdated && !is_over() && !co_await write_known_upstreams()) {
             co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
         }
         wake_.notify_all();
@@ -217,8 +272,7 @@
         }
         {
             std::lock_guard lock(mutex_);
-            order = scheduler_.make_poll(id, std::chrono::steady_clock::now(), is_same_connection,
-                                         is_ownership_proven());
+            order = scheduler_.make_poll(id, std::chrono::steady_clock::now(), is_same_connection, may_act());
         }
         const auto started_at = std::chrono::steady_clock::now();
         last_poll = started_at;
--- a/src/request/peer_queries.cpp
+++ b/src/request/peer_queries.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view status_path = "/v1/cell/queues";
 constexpr std::string_view dump_path = "/v1/cell/state";
 constexpr std::string_view config_path = "/v1/cell/config";
+constexpr std::string_view process_path = "/v1/cell/process";
 constexpr int ok_status = 200;
 constexpr int not_found_status = 404;
 constexpr int not_owner_status = 421;
@@ -100,6 +101,32 @@
     return request;
 }
 
+http_request make_process_query(std::uint64_t token) {
+    http_request request;
+    request.target = std::string(process_path) + "?token=" + std::to_string(token);
+    return request;
+}
+
+absl::StatusOr<process_report> read_process_response(const http_response& response) {
+    if (response.status != ok_status) {
+        return make_error(error_kind::peer_unreachable,
+                          "the process responded with status " + std::to_string(response.status));
+    }
+    const auto body = parse_json_object(response.body, "the report of a process");
+    if (!body.ok()) {
+        return body.status();
+    }
+    json_reader reader(*body, "the report of a process");
+    process_report report;
+    report.process = reader.read_text("process", max_text_bytes);
+    report.uptime_ms = reader.read_integer("uptime_ms", 0, INT64_MAX);
+    report.acting_token = static_cast<std::uint64_t>(reader.read_integer("acting_token", 0, INT64_MAX));
+    if (!reader.get_status().ok()) {
+        return reader.get_status();
+    }
+    return report;
+}
+
 absl::StatusOr<config_report> read_config_response(const http_response& response) {
     if (response.status != ok_status) {
         return make_error(error_kind::peer_unreachable,
@@ -152,7 +179,7 @@
     return statuses;
 }
 
-awaitable<http_response> respond_to_query(http_request request, std::shared_ptr<const cell_member> member) {
+awaitable<http_response> respond_to_query(http_request request, std::shared_ptr<cell_member> member) {
     if (request.get_path() == config_path) {
         const auto query = read_config_query(request);
         const auto report = co_await member->get_configs().get_report(query);
@@ -161,6 +188,12 @@
         response.body = encode_record(report);
         co_return response;
     }
+    if (request.get_path() == process_path) {
+        const auto report = member->report_process(read_number(request, "token"));
+        co_return make_json_response(ok_status, {{"process", report.process},
+                                                 {"uptime_ms", report.uptime_ms},
+                                                 {"acting_token", report.acting_token}});
+    }
     const auto owner = member->get_owner();
     if (owner == nullptr || !owner->is_loaded()) {
         co_return make_json_response(not_owner_status, {{"message", "this process does not own the cell"}});
--- a/src/request/peer_queries.hpp
+++ b/src/request/peer_queries.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,23 @@
 // The query that a process sends to its relay.
 http_request make_config_query(const config_query& query);
 
+// What a process says of itself to the owner that has taken the cell over.
+struct process_report {
+    // The name of the process, which a restarted one does not share with the one before.
+    std::string process;
+    // How long it has been running, which it was not as another process of the same VM.
+    std::int64_t uptime_ms = 0;
+    // The fencing token with which it still acts as an owner; 0 if it does not.
+    std::uint64_t acting_token = 0;
+
+    bool operator==(const process_report&) const = default;
+};
+
+// Asks a process which owner it is. One with a lower token than the given one ends its ownership first.
+http_request make_process_query(std::uint64_t token);
+// Errors: peer_unreachable, bad_request.
+absl::StatusOr<process_report> read_process_response(const http_response& response);
+
 // Decodes the responses of the owner. Errors: not_found (the owner does not have the job), peer_unreachable
 // (the process that responded is not the owner), bad_request (the response cannot be decoded).
 absl::StatusOr<job_phase> read_state_response(const http_response& response);
@@ -33,6 +51,6 @@
 
 // Responds to a query for the configuration, and to any other query if this process owns the cell (status 421
 // otherwise).
-awaitable<http_response> respond_to_query(http_request request, std::shared_ptr<const cell_member> member);
+awaitable<http_response> respond_to_query(http_request request, std::shared_ptr<cell_member> member);
 
 }  // namespace jacinthvane
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -36,7 +36,17 @@
 }
 
 time_point cell_scheduler::get_inherited_leases_end() const {
-    return owner_since_ + limits_.proof_window + get_longest_lease();
+    return last_earlier_action_ + get_longest_lease();
+}
+
+void cell_scheduler::set_last_earlier_action(time_point last_action) {
+    last_earlier_action_ = std::min(last_earlier_action_, last_action);
+    for (auto& [id, upstream] : upstreams_) {
+        // Without a run, this owner has granted no lease there.
+        if (upstream.may_have_inherited_runs && upstream.runs.empty()) {
+            upstream.leases_expire_at = std::min(upstream.leases_expire_at, get_inherited_leases_end());
+        }
+    }
 }
 
 upstream_ledger& cell_scheduler::add_upstream(const upstream_entry& entry) {
--- /dev/null
+++ b/src/version/cell_locations.cpp
@@ -0,0 +1,133 @@
+// Records where long-running tasks run before they start, so that the next owner knows which of them may run
+// on an upstream that does not respond; see cell_scheduler.hpp.
+
+#include <algorithm>
+#include <utility>
+
+#include "version/cell_scheduler.hpp"
+
+namespace jacinthvane {
+
+void cell_scheduler::set_inherited_locations(const std::map<job_id, run_locations>& known, bool is_complete) {
+    for (auto& [id, job] : jobs_) {
+        const auto found = known.find(id);
+        job.has_stored_locations = found != known.end();
+        if (!is_complete || !job.is_inherited || !job.job->spec.is_long_running()) {
+            continue;
+        }
+        job.has_known_locations = true;
+        if (job.has_stored_locations) {
+            apply_locations(job, found->second);
+        }
+    }
+}
+
+void cell_scheduler::apply_locations(job_record& job, const run_locations& locations) {
+    for (const auto& location : locations.tasks) {
+        if (auto* task = job.find_task({job.id, location.occurrence, location.step, location.index})) {
+            task->inherited_run = earlier_run{location.upstream, location.run};
+        }
+    }
+}
+
+std::optional<run_locations> cell_scheduler::make_locations(const job_record& job) const {
+    const bool is_known = !job.is_inherited || job.has_known_locations || is_resolved_;
+    if (!job.job->spec.is_long_running() || !is_known) {
+        return std::nullopt;
+    }
+    run_locations locations;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const auto& tasks = occurrence.steps[step].tasks;
+            for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                const auto& task = tasks[i];
+                if (task.phase == task_phase::active) {
+                    locations.tasks.push_back({number, step, i, task.upstream, task.last_run});
+                } else if (task.inherited_run && has_inherited_leases_) {
+                    locations.tasks.push_back(
+                        {number, step, i, task.inherited_run->upstream, task.inherited_run->run});
+                }
+            }
+        }
+    }
+    return locations;
+}
+
+void cell_scheduler::confirm_locations(const job_id& id, const run_locations& locations) {
+    const auto* job = find_job(id);
+    for (const auto& location : locations.tasks) {
+        const auto found = upstreams_.find(location.upstream);
+        if (found == upstreams_.end()) {
+            continue;
+        }
+        const task_ref ref{id, location.occurrence, location.step, location.index};
+        auto* run = found->second.find_run(ref, location.run);
+        if (job != nullptr && run != nullptr && run->awaits_record) {
+            run->awaits_record = false;
+            expect_orders(found->second);
+            has_recorded_starts_ = true;
+        }
+    }
+}
+
+bool cell_scheduler::take_recorded_starts() {
+    return std::exchange(has_recorded_starts_, false);
+}
+
+bool cell_scheduler::is_held(const job_record& job, const step_ref& ref, const task_record& task,
+                             time_point now) const {
+    if (!job.is_inherited) {
+        return false;
+    }
+    const bool is_located = job.has_known_locations && job.job->spec.steps[ref.step].is_long_running;
+    if (!is_located) {
+        return !is_resolved_;
+    }
+    // A long-running task has no end that would have to be learned from the upstream, so the end of the
+    // leases suffices.
+    if (!task.inherited_run || now >= get_inherited_leases_end()) {
+        return false;
+    }
+    const auto found = upstreams_.find(task.inherited_run->upstream);
+    if (found == upstreams_.end()) {
+        return false;
+    }
+    // A run that is being stopped is not listed, and ends within this time.
+    return found->second.may_have_inherited_runs || now < found->second.responded_at + get_longest_stop();
+}
+
+bool cell_scheduler::is_takeover_over(time_point now) const {
+    return now >= get_inherited_leases_end() && is_takeover_resolved(now);
+}
+
+void cell_scheduler::complete_locations() {
+    for (auto& [id, job] : jobs_) {
+        if (job.job->spec.is_long_running() && job.is_inherited && !job.has_known_locations) {
+            job.has_known_locations = true;
+            dirty_jobs_.insert(id);
+        }
+    }
+}
+
+bool cell_scheduler::are_locations_complete() const {
+    return std::all_of(jobs_.begin(), jobs_.end(), [&](const auto& entry) {
+        const auto& job = entry.second;
+        const bool is_located = !job.is_inherited || job.has_known_locations;
+        const bool is_written = !dirty_jobs_.contains(entry.first) && !commit_batch_.contains(entry.first);
+        return !job.job->spec.is_long_running() || (is_located && is_written);
+    });
+}
+
+void cell_scheduler::release_unsent_runs(upstream_ledger& upstream, time_point now) {
+    std::vector<run_key> unsent;
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.is_unsent()) {
+            unsent.push_back(key);
+        }
+    }
+    for (const auto& key : unsent) {
+        release_run(upstream, key, now);
+    }
+}
+
+}  // namespace jacinthvane
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -49,7 +49,7 @@
             has_held_starts_ = true;
             break;
         }
-        if (job->is_inherited && !is_resolved_) {
+        if (job->is_inherited && !is_resolved_ && !job->has_known_locations) {
             continue;
         }
         for (auto& [number, occurrence] : job->occurrences) {
@@ -64,6 +64,7 @@
 }
 
 void cell_scheduler::update_takeover(time_point now) {
+    has_inherited_leases_ = now < get_inherited_leases_end();
     const bool is_resolved = is_takeover_resolved(now);
     if (is_resolved == is_resolved_) {
         return;
@@ -105,12 +106,16 @@
         request_advice(job, ref, now, decisions);
     }
     if (spec.is_gang) {
-        place_gang(job, ref, now, decisions);
+        const bool is_any_held = std::any_of(step.tasks.begin(), step.tasks.end(),
+                                             [&](const auto& task) { return is_held(job, ref, task, now); });
+        if (!is_any_held) {
+            place_gang(job, ref, now, decisions);
+        }
         return;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         auto& task = step.tasks[index];
-        if (task.phase != task_phase::waiting || now < task.not_before) {
+        if (task.phase != task_phase::waiting || now < task.not_before || is_held(job, ref, task, now)) {
             continue;
         }
         if (starts_left_ == 0) {
@@ -184,6 +189,7 @@
     task.phase = task_phase::active;
     task.upstream = chosen.upstream->entry.id;
     task.last_run = run;
+    task.inherited_run.reset();
     ++job.find_step(ref.get_step())->active_tasks;
     job.has_started = true;
     run_record record;
@@ -194,8 +200,9 @@
     record.earlier_crashes = static_cast<std::uint32_t>(task.crashed_runs.size());
     record.image = tail_model_.get_index(spec.image);
     record.cpu_limit_changed_at = now;
-    record.is_order_sent = true;
-    record.is_start_in_flight = true;
+    record.is_order_sent = !spec.is_long_running;
+    record.is_start_in_flight = !spec.is_long_running;
+    record.awaits_record = spec.is_long_running;
     record.started_at = now;
     if (!spec.is_best_effort && !spec.is_long_running) {
         record.expected_end = now + std::chrono::milliseconds(spec.estimated_ms);
@@ -203,6 +210,11 @@
     chosen.upstream->add_run(ref, run, record);
     mark_changed(*chosen.upstream);
     starts_left_ -= starts_left_ > 0 ? 1 : 0;
+    if (spec.is_long_running) {
+        // The start order is sent once the location is durable.
+        dirty_jobs_.insert(job.id);
+        return;
+    }
     decisions.orders.emplace_back(make_start(*chosen.upstream, job, ref, run, chosen.ticket, now));
 }
 
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -19,7 +19,7 @@
 // How long an upstream without runs may hold a poll.
 constexpr std::int64_t empty_poll_wait_ms = 2000;
 // Allowed in addition to the stop timeout before an absent run is released.
-constexpr std::int64_t stop_margin_ms = 100;
+constexpr std::chrono::milliseconds stop_margin{100};
 // While it is unknown which incarnation received a start order, the next report is requested soon.
 constexpr std::int64_t unknown_incarnation_poll_wait_ms = 50;
 // Upstreams with latency-critical tasks or runs that are being stopped report at least this often, since CPU
@@ -88,6 +88,7 @@
         begin_incarnation(upstream, report.boot_unix_ms, incarnation_source::report, now);
     }
     mark_changed(upstream);
+    upstream.responded_at = upstream.has_responded ? upstream.responded_at : now;
     upstream.is_unresponsive = false;
     upstream.may_have_inherited_runs = false;
     upstream.failed_polls_after_expiry = 0;
@@ -195,6 +196,9 @@
     }
     task->not_before = not_before;
     const auto& spec = job.job->spec.steps[ref.step];
+    if (spec.is_long_running) {
+        dirty_jobs_.insert(job.id);
+    }
     if (spec.is_gang) {
         // Members of a gang run only together, so the remaining ones are stopped.
         for (std::uint32_t i = 0; i < step->tasks.size(); ++i) {
@@ -363,6 +367,10 @@
     upstream.add_run(row.task, row.run, run);
 }
 
+std::chrono::milliseconds cell_scheduler::get_longest_stop() const {
+    return limits_.stop_timeout + stop_margin;
+}
+
 void cell_scheduler::release_absent_runs(upstream_ledger& upstream, const upstream_report& report,
                                          time_point now) {
     std::set<const run_record*> listed;
@@ -371,7 +379,7 @@
     }
     // A run that is being stopped is in neither list and still uses its resources, so it is released only
     // after the longest time that a stop takes.
-    const auto longest_stop = limits_.stop_timeout.count() + stop_margin_ms;
+    const auto longest_stop = get_longest_stop().count();
     std::vector<run_key> absent;
     for (auto& [key, run] : upstream.runs) {
         if (!listed.contains(&run) && upstream.is_of_earlier_incarnation(run)) {
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -44,6 +44,9 @@
 void cell_scheduler::release_expired_runs(time_point now) {
     std::vector<upstream_id> removed;
     for (auto& [id, upstream] : upstreams_) {
+        if (upstream.is_unresponsive || upstream.entry.is_leaving || !upstream.is_listed) {
+            release_unsent_runs(upstream, now);
+        }
         const bool is_unreachable = upstream.is_unresponsive || !upstream.has_responded;
         // It has responded to this owner, so the ledger lists every run there, including those of earlier
         // owners. Without any it can be removed before its leases expire.
@@ -83,6 +86,9 @@
                                       std::vector<upstream_order>& orders) {
     bool has_pending_orders = false;
     for (auto& [key, run] : upstream.runs) {
+        if (run.awaits_record && run.phase == run_phase::starting) {
+            continue;
+        }
         if (run.is_order_sent || run.phase == run_phase::running) {
             continue;
         }
@@ -102,6 +108,7 @@
                 has_pending_orders = true;
                 continue;
             }
+            run.started_at = run.is_unsent() ? now : run.started_at;
             run.is_order_sent = true;
             run.is_start_in_flight = true;
             --starts_left_;
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -17,7 +17,10 @@
 }  // namespace
 
 cell_scheduler::cell_scheduler(cell_limits limits, std::uint64_t token, time_point owner_since)
-    : limits_(limits), token_(token), owner_since_(owner_since) {}
+    : limits_(limits),
+      token_(token),
+      owner_since_(owner_since),
+      last_earlier_action_(owner_since + limits.proof_window) {}
 
 void cell_scheduler::set_queues(std::shared_ptr<const queue_index> queues) {
     // A change may arrive while the owner starts with the version before.
@@ -208,6 +211,18 @@
     }
 }
 
+progress_commit::job_entry cell_scheduler::make_commit_entry(job_record& job,
+                                                             std::int64_t now_unix_ms) const {
+    progress_commit::job_entry entry{job.id, job.make_progress(now_unix_ms), std::nullopt,
+                                     job.has_stored_locations};
+    if (!is_final(entry.progress.state)) {
+        entry.locations = make_locations(job);
+        // Also if the outcome of the commit stays unknown.
+        job.has_stored_locations = job.has_stored_locations || entry.locations.has_value();
+    }
+    return entry;
+}
+
 progress_commit cell_scheduler::collect_commit(std::size_t max_entries, std::int64_t now_unix_ms) {
     if (commit_batch_.empty()) {
         begin_commit_batch();
@@ -216,13 +231,13 @@
     std::size_t entries = 0;
     while (!commit_batch_.empty()) {
         const auto first = commit_batch_.begin();
-        if (const auto* job = find_job(*first)) {
-            auto progress = job->make_progress(now_unix_ms);
-            entries += progress_commit::count_entries(progress.state);
+        if (auto* job = find_job(*first)) {
+            auto entry = make_commit_entry(*job, now_unix_ms);
+            entries += entry.count_entries();
             if (entries > max_entries) {
                 return commit;
             }
-            commit.jobs.push_back({*first, std::move(progress)});
+            commit.jobs.push_back(std::move(entry));
             // The commit contains all changes of the job so far.
             dirty_jobs_.erase(*first);
         }
@@ -235,6 +250,9 @@
 void cell_scheduler::confirm_commit(const progress_commit& commit) {
     for (const auto& entry : commit.jobs) {
         if (!is_final(entry.progress.state)) {
+            if (entry.locations) {
+                confirm_locations(entry.job, *entry.locations);
+            }
             continue;
         }
         ended_jobs_[entry.job] = {entry.progress.queue, entry.progress.state, entry.progress.ended_unix_ms};
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -19,6 +19,7 @@
 #include "process/job_progress.hpp"
 #include "process/job_record.hpp"
 #include "process/job_spec.hpp"
+#include "process/run_locations.hpp"
 #include "process/tail_model.hpp"
 #include "process/upstream_entry.hpp"
 #include "process/upstream_index.hpp"
@@ -42,6 +43,18 @@
     struct job_entry {
         job_id job;
         job_progress progress;
+        // Set for a long-running job that has not ended.
+        std::optional<run_locations> locations;
+        // The store may have a record of its locations.
+        bool has_stored_locations = false;
+
+        // Entries that it takes in a transaction: the progress and the locations, or the progress and the
+        // removal of the job, of its cancellation and of its locations.
+        std::size_t count_entries() const {
+            const bool is_cancelled = progress.state == job_phase::cancelled;
+            return 1 + (is_final(progress.state) ? 1 : 0) + (is_cancelled ? 1 : 0) +
+                   (locations || has_stored_locations ? 1 : 0);
+        }
 
         bool operator==(const job_entry&) const = default;
     };
@@ -54,12 +67,6 @@
         bool operator==(const end_mark&) const = default;
     };
 
-    // Entries that the progress of a job takes in a transaction: the progress itself, the removal of an ended
-    // job and that of its cancellation.
-    static std::size_t count_entries(job_phase state) {
-        return state == job_phase::cancelled ? 3 : is_final(state) ? 2 : 1;
-    }
-
     std::vector<job_entry> jobs;
     std::map<upstream_id, end_mark> ends;
 
@@ -110,6 +117,10 @@
     // ignored. A job is inherited if an earlier owner may have started tasks of it.
     void add_job(const job_id& id, std::shared_ptr<const accepted_job> job, const job_progress* progress,
                  bool is_inherited, clock_reading clock);
+    // Sets where earlier owners may have left runs of long-running tasks, after all jobs were added. Jobs
+    // without an entry run nowhere, unless the list is incomplete: then inherited tasks may run on any
+    // upstream that an earlier owner used.
+    void set_inherited_locations(const std::map<job_id, run_locations>& known, bool is_complete);
     // Records the final state of a job that ended under an earlier owner.
     void add_ended_job(const job_id& id, const job_progress& progress);
     void cancel_job(const job_id& id, clock_reading clock);
@@ -181,9 +192,21 @@
     void confirm_commit(const progress_commit& commit);
     // Queues the contents of a commit that was not written for the next one.
     void reject_commit(const progress_commit& commit);
+    // Whether a commit has allowed start orders to be sent since the last call.
+    bool take_recorded_starts();
+    // Whether all runs of earlier owners are known, and no late order of theirs can start another.
+    bool is_takeover_over(time_point now) const;
+    // Has the locations of inherited jobs written that were not recorded before. Called once the takeover is
+    // over.
+    void complete_locations();
+    // Whether the locations of all long-running jobs are in the store.
+    bool are_locations_complete() const;
 
     // An upstream has received a higher fencing token, so another process owns the cell.
     bool is_fenced() const { return is_fenced_; }
+    // Sets the time by which all earlier owners have given their last orders. Without it, they may act for
+    // the proof window after the takeover. It may be called again when less becomes known to be possible.
+    void set_last_earlier_action(time_point last_action);
     // Every upstream that may run tasks of an earlier owner has responded, or all its leases have expired.
     // Tasks of inherited jobs start only then.
     bool is_takeover_resolved(time_point now) const;
@@ -308,15 +331,30 @@
     upstream_ledger& add_upstream(const upstream_entry& entry);
     void remove_upstream(const upstream_id& id);
     void begin_commit_batch();
+    progress_commit::job_entry make_commit_entry(job_record& job, std::int64_t now_unix_ms) const;
     // Adds the waiting tasks to the summary (cell_summary.cpp).
     void count_waiting_tasks_by_kind(cell_summary& summary) const;
     // Returns the number of waiting tasks that the takeover holds back.
     std::size_t count_held_tasks(time_point now) const;
+    std::size_t count_held_tasks_of(const job_record& job, time_point now) const;
     // Whether an earlier owner may have runs on the upstream that this owner does not know.
     static bool is_unresolved(const upstream_ledger& upstream, time_point now);
     // Records a run that failed or made no progress, and logs a block of the upstream that begins with it.
     void record_failure(upstream_ledger& upstream, const job_id& job, bool failed_elsewhere, time_point now);
 
+    // Locations of long-running tasks (cell_locations.cpp)
+    static void apply_locations(job_record& job, const run_locations& locations);
+    // Returns nothing for a job whose runs are not known, or that has no long-running tasks.
+    std::optional<run_locations> make_locations(const job_record& job) const;
+    // Sends the start orders of runs whose locations are durable now.
+    void confirm_locations(const job_id& id, const run_locations& locations);
+    // Whether a run of the task by an earlier owner may still exist, so that the task cannot start.
+    bool is_held(const job_record& job, const step_ref& ref, const task_record& task, time_point now) const;
+    // Requeues the tasks whose start orders have never been sent to the upstream.
+    void release_unsent_runs(upstream_ledger& upstream, time_point now);
+    // The longest time for which a run that is being stopped is in neither list of its upstream.
+    std::chrono::milliseconds get_longest_stop() const;
+
     // Crashes of upstreams (cell_crashes.cpp)
     // Counts the crash against the tasks that may have caused it, and fails the jobs of those that have. A
     // run that may be in the next incarnation is counted only when it turns out not to be there.
@@ -475,6 +513,8 @@
     const cell_limits limits_;
     const std::uint64_t token_;
     const time_point owner_since_;
+    // Earlier owners have given their last orders by then.
+    time_point last_earlier_action_;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
     std::shared_ptr<const queue_index> queues_;
@@ -511,6 +551,9 @@
     bool has_held_starts_ = false;
     // Whether the takeover was resolved at the last decision.
     bool is_resolved_ = false;
+    // Whether leases of earlier owners could be valid at the last decision.
+    bool has_inherited_leases_ = true;
+    bool has_recorded_starts_ = false;
     std::uint64_t evaluated_placements_ = 0;
     // Number of the current decision. The views of earlier ones are kept for their memory only.
     std::uint64_t decision_ = 0;
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -27,12 +27,6 @@
     }
 }
 
-std::size_t count_waiting_tasks_of(const job_record& job) {
-    cell_summary summary;
-    count_waiting_tasks_of(job, summary);
-    return summary.waiting_serving + summary.waiting_best_effort + summary.waiting_others;
-}
-
 void count_upstream(const upstream_ledger& upstream, cell_summary& summary) {
     ++summary.usable_upstreams;
     summary.trial_upstreams += upstream.health.is_on_trial() ? 1 : 0;
@@ -68,14 +62,30 @@
     }
 }
 
-std::size_t cell_scheduler::count_held_tasks(time_point now) const {
-    if (is_takeover_resolved(now)) {
-        return 0;
+std::size_t cell_scheduler::count_held_tasks_of(const job_record& job, time_point now) const {
+    std::size_t held = 0;
+    for (const auto& [number, occurrence] : job.occurrences) {
+        for (std::uint32_t i = 0; i < occurrence.steps.size(); ++i) {
+            const auto& step = occurrence.steps[i];
+            if (!step.is_released) {
+                continue;
+            }
+            const step_ref ref{job.id, number, i};
+            const auto is_waiting_and_held = [&](const task_record& task) {
+                return task.phase == task_phase::waiting && is_held(job, ref, task, now);
+            };
+            held += static_cast<std::size_t>(
+                std::count_if(step.tasks.begin(), step.tasks.end(), is_waiting_and_held));
+        }
     }
+    return held;
+}
+
+std::size_t cell_scheduler::count_held_tasks(time_point now) const {
     std::size_t held = 0;
     for (const auto& id : waiting_jobs_) {
         const auto found = jobs_.find(id);
-        held += found != jobs_.end() && found->second.is_inherited ? count_waiting_tasks_of(found->second) : 0;
+        held += found == jobs_.end() ? 0 : count_held_tasks_of(found->second, now);
     }
     return held;
 }
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -28,6 +28,7 @@
         entries.push_back(entry);
     }
     scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
+    history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
     for (const auto& entry : entries) {
         scheduler->list_upstream(entry, clock->get_now());
     }
@@ -119,6 +120,9 @@
     const auto batch = scheduler->collect_commit(max_jobs, read_clock().unix_ms);
     for (const auto& entry : batch.jobs) {
         committed[entry.job] = entry.progress;
+        if (entry.locations) {
+            locations[entry.job] = *entry.locations;
+        }
     }
     scheduler->confirm_commit(batch);
 }
@@ -126,6 +130,8 @@
 void cell_fixture::take_over(bool has_upstream_list) {
     ++token;
     scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
+    history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
+    scheduler->set_last_earlier_action(history.get_last_action(token));
     for (const auto& [id, progress] : committed) {
         if (is_final(progress.state)) {
             scheduler->add_ended_job(id, progress);
@@ -136,6 +142,7 @@
         scheduler->add_job(id, std::make_shared<const accepted_job>(job),
                            found == committed.end() ? nullptr : &found->second, true, read_clock());
     }
+    scheduler->set_inherited_locations(locations, has_complete_locations);
     for (const auto& entry : entries) {
         if (has_upstream_list) {
             scheduler->expect_upstream(entry);
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "connection/memory_upstreams.hpp"
+#include "process/owner_history.hpp"
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -46,6 +47,11 @@
     std::vector<upstream_entry> entries;
     std::map<job_id, accepted_job> accepted;
     std::map<job_id, job_progress> committed;
+    std::map<job_id, run_locations> locations;
+    owner_history history{cell_limits().proof_window};
+    // Whether the store has the locations of all long-running jobs, as with an owner before that records
+    // them.
+    bool has_complete_locations = true;
 
 private:
     void step();
--- /dev/null
+++ b/tests/lasting_task_test.cpp
@@ -0,0 +1,145 @@
+#include <chrono>
+#include <set>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/cell_fixture.hpp"
+
+using namespace jacinthvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t task_count = 6;
+
+accepted_job make_long_running_job(std::uint32_t tasks = task_count) {
+    auto step = cell_fixture::make_step(tasks, 4000);
+    step.is_long_running = true;
+    return cell_fixture::make_job({step});
+}
+
+void check_no_violations(const cell_fixture& cell) {
+    for (const auto& violation : cell.upstreams.get_violations()) {
+        BOOST_ERROR(violation);
+    }
+}
+
+// Returns an upstream on which tasks run, other than the given one.
+upstream_id find_busy_upstream(const cell_fixture& cell, const upstream_id& other = upstream_id()) {
+    for (const auto& entry : cell.entries) {
+        if (entry.id != other && cell.upstreams.count_running(entry.id) > 0) {
+            return entry.id;
+        }
+    }
+    return upstream_id();
+}
+
+}  // namespace
+
+// Tasks that run until their job is cancelled, and have to run again soon after any loss of a run.
+BOOST_AUTO_TEST_SUITE(lasting_task)
+
+// Guards against one silent upstream that holds back all inherited tasks after a takeover, also those that
+// cannot run there: they waited 12 s beside idle upstreams.
+BOOST_AUTO_TEST_CASE(a_silent_upstream_holds_back_only_the_tasks_that_may_be_there) {
+    cell_fixture cell(4);
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(2));
+    const auto silent = find_busy_upstream(cell);
+    const auto crashed = find_busy_upstream(cell, silent);
+    const auto on_silent = cell.upstreams.count_running(silent);
+    BOOST_REQUIRE(on_silent > 0U);
+    BOOST_REQUIRE(cell.upstreams.count_running(crashed) > 0U);
+    cell.upstreams.set_partitioned(silent, true);
+    cell.upstreams.restart(crashed, 2);
+    cell.take_over();
+    cell.run_for(seconds(2));
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    BOOST_TEST(cell.upstreams.count_running(silent) == on_silent);
+    cell.run_for(seconds(16));
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    BOOST_TEST(cell.upstreams.count_running(silent) == 0U);
+    check_no_violations(cell);
+}
+
+// Guards against a long-running task that runs twice: its start order must not be sent before the location is
+// durable, since the next owner starts the task wherever the record says that it is not.
+BOOST_AUTO_TEST_CASE(no_start_order_is_sent_before_its_location_is_durable) {
+    cell_fixture cell(3);
+    cell.delays_commits = true;
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(1));
+    BOOST_TEST(cell.upstreams.get_start_count() == 0U);
+    cell.delays_commits = false;
+    cell.run_for(milliseconds(200));
+    BOOST_TEST(cell.upstreams.get_start_count() == task_count);
+    check_no_violations(cell);
+}
+
+// Guards against a task that waits for an upstream that has gone before the task was ever sent there.
+BOOST_AUTO_TEST_CASE(an_unsent_run_leaves_a_silent_upstream_at_once) {
+    cell_fixture cell(3);
+    cell.delays_commits = true;
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(milliseconds(200));
+    const auto* first = cell.scheduler->find_upstream(cell.entries[0].id);
+    std::set<upstream_id> chosen;
+    for (const auto& entry : cell.entries) {
+        first = cell.scheduler->find_upstream(entry.id);
+        if (!first->runs.empty()) {
+            chosen.insert(entry.id);
+        }
+    }
+    BOOST_REQUIRE(!chosen.empty());
+    cell.upstreams.set_partitioned(*chosen.begin(), true);
+    cell.run_for(milliseconds(200));
+    cell.delays_commits = false;
+    cell.run_for(seconds(1));
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    check_no_violations(cell);
+}
+
+// Guards against records of an owner that did not keep them: without complete locations every inherited task
+// may be on the silent upstream.
+BOOST_AUTO_TEST_CASE(incomplete_locations_hold_back_all_inherited_tasks) {
+    cell_fixture cell(4);
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(2));
+    const auto silent = find_busy_upstream(cell);
+    cell.upstreams.set_partitioned(silent, true);
+    cell.upstreams.restart(find_busy_upstream(cell, silent), 2);
+    cell.has_complete_locations = false;
+    cell.take_over();
+    const auto before = cell.upstreams.get_start_count();
+    cell.run_for(seconds(11));
+    BOOST_TEST(cell.upstreams.get_start_count() == before);
+    cell.run_for(seconds(7));
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    check_no_violations(cell);
+}
+
+// Guards against a task that runs twice because its run was being stopped, and so was in neither list, when
+// the new owner first read the lists of the upstream.
+BOOST_AUTO_TEST_CASE(a_run_that_is_being_stopped_delays_the_next_one) {
+    cell_fixture cell(3);
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(2));
+    auto leaving = cell.entries[0];
+    leaving.id = find_busy_upstream(cell);
+    for (auto& entry : cell.entries) {
+        if (entry.id == leaving.id) {
+            entry.is_leaving = true;
+            entry.remaining_ms = 4000;
+            cell.scheduler->list_upstream(entry, cell.clock->get_now());
+        }
+    }
+    cell.run_for(milliseconds(60));
+    cell.take_over();
+    cell.run_for(seconds(3));
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    check_no_violations(cell);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/owner_history_test.cpp
@@ -0,0 +1,70 @@
+#include <chrono>
+
+#include <boost/test/unit_test.hpp>
+
+#include "process/owner_history.hpp"
+
+using namespace jacinthvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr milliseconds proof_window{6000};
+
+time_point at(seconds since_start) {
+    return time_point() + std::chrono::hours(1) + since_start;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(owner_history)
+
+BOOST_AUTO_TEST_CASE(the_first_owner_has_no_predecessor) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(1, "a", "a:1", at(seconds(0)));
+    BOOST_TEST((history.get_last_action(1) == time_point()));
+    BOOST_TEST(history.get_possible_owners(1, at(seconds(0))).empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_may_act_for_the_proof_window_after_the_next_takeover) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(1, "a", "a:1", at(seconds(0)));
+    history.record_owner(2, "b", "b:1", at(seconds(20)));
+    BOOST_TEST((history.get_last_action(2) == at(seconds(26))));
+    BOOST_TEST(history.get_possible_owners(2, at(seconds(25))).size() == 1U);
+    BOOST_TEST(history.get_possible_owners(2, at(seconds(26))).empty());
+}
+
+// Guards against a wait that begins anew with each takeover.
+BOOST_AUTO_TEST_CASE(a_further_takeover_does_not_move_the_last_action_of_earlier_owners) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(1, "a", "a:1", at(seconds(0)));
+    history.record_owner(2, "b", "b:1", at(seconds(20)));
+    history.record_owner(3, "c", "c:1", at(seconds(25)));
+    history.record_end(2, at(seconds(24)));
+    BOOST_TEST((history.get_last_action(3) == at(seconds(26))));
+}
+
+BOOST_AUTO_TEST_CASE(an_end_counts_only_for_the_owner_that_ended) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(1, "a", "a:1", at(seconds(0)));
+    history.record_owner(2, "b", "b:1", at(seconds(20)));
+    history.record_end(1, at(seconds(18)));
+    BOOST_TEST((history.get_last_action(2) == at(seconds(18))));
+    history.record_owner(3, "c", "c:1", at(seconds(21)));
+    BOOST_TEST((history.get_last_action(3) == at(seconds(27))));
+}
+
+// Guards against a process that has just started and takes the owners that it did not see for ended.
+BOOST_AUTO_TEST_CASE(owners_that_were_not_seen_may_have_acted) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(5, "e", "e:1", at(seconds(10)));
+    history.record_owner(6, "f", "f:1", at(seconds(11)));
+    history.record_end(5, at(seconds(9)));
+    BOOST_TEST((history.get_last_action(6) == at(seconds(16))));
+    history.record_owner(8, "h", "h:1", at(seconds(20)));
+    BOOST_TEST((history.get_last_action(8) == at(seconds(26))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -64,6 +64,8 @@
     (void)decode_job_progress(bytes);
     (void)decode_cell_row(bytes);
     (void)decode_known_upstreams(bytes);
+    (void)decode_run_locations(bytes);
+    (void)decode_location_mark(bytes);
 }
 
 }  // namespace
