Do not count runs that fail together as failed trials of their upstream

Cause: after the first block each further failure counted as a failed trial and doubled the block, also of runs that had started before it.

A failure counts now only if its run started after the end of the last block. The new test failed before: 8 of 8 jobs were not done 5 s after the upstream was sound again. Also upstreams that fail runs by themselves are blocked as before (avoids_an_upstream_that_fails_everything).

--- a/src/process/upstream_health.cpp
+++ b/src/process/upstream_health.cpp
@@ -16,8 +16,9 @@
 
 }  // namespace
 
-bool upstream_health::record_failure(const job_id& job, bool failed_elsewhere, time_point now) {
-    if (failed_elsewhere) {
+bool upstream_health::record_failure(const job_id& job, bool failed_elsewhere, time_point started_at,
+                                     time_point now) {
+    if (failed_elsewhere || (is_on_trial() && started_at < blocked_until_)) {
         return false;
     }
     ++failures_in_row_;
--- a/src/process/upstream_health.hpp
+++ b/src/process/upstream_health.hpp
@@ -14,9 +14,9 @@
 class upstream_health {
 public:
     // Records a run that failed or made no progress. A failure is ignored if the task has also failed on
-    // another upstream (failed_elsewhere), since the cause is then probably the job. Returns whether a block
-    // begins with it.
-    bool record_failure(const job_id& job, bool failed_elsewhere, time_point now);
+    // another upstream (failed_elsewhere), since the cause is then probably the job, and if the run started
+    // before the end of the last block, which was for the same cause. Returns whether a block begins with it.
+    bool record_failure(const job_id& job, bool failed_elsewhere, time_point started_at, time_point now);
     void record_success();
 
     bool is_blocked(time_point now) const { return now < blocked_until_; }
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -136,7 +136,7 @@
             end_incarnation(order.upstream, now);
             return;
         case order_result::refused_busy:
-            record_failure(upstream, order.task.job, false, now);
+            record_failure(upstream, order.task.job, false, run->started_at, now);
             break;
         default:
             break;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -119,6 +119,7 @@
               << " end=" << row.number << " token=" << token_;
     const auto* known = upstream.find_run(row.task, row.run);
     const bool was_known = known != nullptr;
+    const auto started_at = was_known ? known->started_at : time_point();
     if (was_known && known->best_effort_milli > 0) {
         const auto capacity = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
         const auto share = static_cast<double>(known->load) / static_cast<double>(capacity);
@@ -157,7 +158,7 @@
         task->checkpoint = row.checkpoint;
     }
     if (row.how == run_end::failed) {
-        fail_task(*job, row.task, upstream, now);
+        fail_task(*job, row.task, upstream, started_at, now);
         return;
     }
     if (!row.checkpoint.empty() && !spec.is_long_running) {
@@ -252,17 +253,17 @@
 }
 
 void cell_scheduler::fail_task(job_record& job, const task_ref& ref, upstream_ledger& upstream,
-                               time_point now) {
+                               time_point started_at, time_point now) {
     auto* task = job.find_task(ref);
-    record_failure(upstream, job.id, task->failures_in_row > 0, now);
+    record_failure(upstream, job.id, task->failures_in_row > 0, started_at, now);
     record_avoided_upstream(*task, upstream.entry.id);
     ++task->failures_in_row;
     requeue_task(job, ref, now + get_failure_delay(task->failures_in_row));
 }
 
 void cell_scheduler::record_failure(upstream_ledger& upstream, const job_id& job, bool failed_elsewhere,
-                                    time_point now) {
-    if (!upstream.health.record_failure(job, failed_elsewhere, now)) {
+                                    time_point started_at, time_point now) {
+    if (!upstream.health.record_failure(job, failed_elsewhere, started_at, now)) {
         return;
     }
     const auto span =
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -139,7 +139,7 @@
         if (task == nullptr) {
             continue;
         }
-        record_failure(upstream, key.first.job, !task->avoided.empty(), now);
+        record_failure(upstream, key.first.job, !task->avoided.empty(), run.started_at, now);
         task->avoided.push_back(upstream.entry.id);
         begin_stop(upstream, run, now);
     }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -340,7 +340,8 @@
     // Whether an earlier owner may have runs on the upstream that this owner does not know.
     static bool is_unresolved(const upstream_ledger& upstream, time_point now);
     // Records a run that failed or made no progress, and logs a block of the upstream that begins with it.
-    void record_failure(upstream_ledger& upstream, const job_id& job, bool failed_elsewhere, time_point now);
+    void record_failure(upstream_ledger& upstream, const job_id& job, bool failed_elsewhere,
+                        time_point started_at, time_point now);
 
     // Locations of long-running tasks (cell_locations.cpp)
     static void apply_locations(job_record& job, const run_locations& locations);
@@ -398,7 +399,8 @@
                                time_point now);
     void requeue_task(job_record& job, const task_ref& task, time_point not_before);
     void finish_task(job_record& job, const task_ref& task, time_point now);
-    void fail_task(job_record& job, const task_ref& task, upstream_ledger& upstream, time_point now);
+    void fail_task(job_record& job, const task_ref& task, upstream_ledger& upstream, time_point started_at,
+                   time_point now);
     static void record_avoided_upstream(task_record& task, const upstream_id& upstream);
     void count_failure(job_record& job, const task_ref& task, std::uint64_t run, time_point now);
     job_record* find_job(const job_id& id);
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -550,6 +550,26 @@
     BOOST_TEST(done == 30);
 }
 
+// Guards against a sound upstream that takes no task for 20 s after one episode: each of the runs that failed
+// together counted as a failed trial and doubled the block.
+BOOST_AUTO_TEST_CASE(runs_that_fail_together_block_their_upstream_once) {
+    constexpr std::uint32_t many_attempts = 10;
+    cell_fixture cell(1);
+    for (int i = 0; i < 8; ++i) {
+        cell.add_job("job" + std::to_string(i),
+                     cell_fixture::make_job({cell_fixture::make_step(1)}, many_attempts));
+    }
+    cell.upstreams.set_failing(cell.entries[0].id, true);
+    cell.run_for(milliseconds(1500));
+    cell.upstreams.set_failing(cell.entries[0].id, false);
+    // The first block, a trial run, and the other runs.
+    cell.run_for(milliseconds(2500 + 1000 + 1000 + 500));
+    for (int i = 0; i < 8; ++i) {
+        BOOST_TEST((cell.get_state("job" + std::to_string(i)) == job_phase::done));
+    }
+    check_no_violations(cell);
+}
+
 // A new incarnation of an upstream does not have the runs of the previous one, so their tasks are restarted.
 BOOST_AUTO_TEST_CASE(restarts_tasks_of_a_restarted_upstream) {
     cell_fixture cell(1);
