Never end a long-running job because upstreams crash under its tasks

Adopted runs also counted as just started, so after each takeover every crash was counted against them.

A long-running task backs off instead: 250 ms after the second crash, doubled up to 2 s, and it waits at most another second for an upstream of its own. The delay is in event=upstream_crashed. A task that is found at work is no suspect.

Evidence: crashes_never_end_a_long_running_job failed before (the job was shown as failed), an_adopted_long_running_task_is_no_suspect fails without its line, a_long_running_task_waits_for_isolation_only_for_a_while without the bound.

--- a/src/version/cell_crashes.cpp
+++ b/src/version/cell_crashes.cpp
@@ -19,6 +19,11 @@
 // Crashes after which a task is given up if no other run can have caused the last one, and in any case.
 constexpr std::size_t crashes_to_give_up_alone = 2;
 constexpr std::size_t crashes_to_give_up = 3;
+// A long-running task is never given up. Before it starts after further crashes it waits for twice as long
+// each time, up to the maximum, and then for an upstream of its own for at most this long.
+constexpr std::chrono::milliseconds first_crash_delay{250};
+constexpr std::chrono::milliseconds max_crash_delay{2000};
+constexpr std::chrono::milliseconds max_isolation_wait{1000};
 // Placement costs, in units of an upstream's processors. Tasks under which an upstream has crashed are kept
 // apart, so that the next crash has one suspect, and others are kept away from them.
 constexpr double shared_suspicion_cost = 2.0;
@@ -69,15 +74,27 @@
     runs.insert(position, run);
     dirty_jobs_.insert(job->id);
     const bool is_alone = suspects == 1;
-    const bool is_given_up = runs.size() >= (is_alone ? crashes_to_give_up_alone : crashes_to_give_up);
+    const bool is_long_running = job->job->spec.steps[ref.step].is_long_running;
+    const bool is_given_up =
+        !is_long_running && runs.size() >= (is_alone ? crashes_to_give_up_alone : crashes_to_give_up);
+    const auto delay = is_long_running ? get_crash_delay(runs.size()) : std::chrono::milliseconds(0);
     LOG(INFO) << "event=upstream_crashed upstream=" << upstream.entry.id.get() << " task=" << ref.to_string()
               << "/" << run << " crashes=" << runs.size() << " suspects=" << suspects
-              << " given_up=" << is_given_up << " token=" << token_;
+              << " given_up=" << is_given_up << " delay_ms=" << delay.count() << " token=" << token_;
     if (is_given_up) {
         end_job(*job, job_phase::failed, now);
     }
 }
 
+std::chrono::milliseconds cell_scheduler::get_crash_delay(std::size_t crashes) {
+    constexpr std::size_t max_doublings = 3;
+    if (crashes < crashes_to_isolate) {
+        return std::chrono::milliseconds(0);
+    }
+    const auto doublings = std::min(crashes - crashes_to_isolate, max_doublings);
+    return std::min(first_crash_delay * (1U << doublings), max_crash_delay);
+}
+
 void cell_scheduler::clear_proven_runs(upstream_ledger& upstream) {
     if (upstream.suspect_runs == 0) {
         return;
@@ -97,8 +114,10 @@
     }
 }
 
-bool cell_scheduler::may_share(const upstream_ledger& upstream, const task_record& task) const {
-    if (task.crashed_runs.size() >= crashes_to_isolate) {
+bool cell_scheduler::may_share(const upstream_ledger& upstream, const task_record& task, bool is_long_running,
+                               time_point now) const {
+    const bool is_suspect = task.crashed_runs.size() >= crashes_to_isolate;
+    if (is_suspect && (!is_long_running || now < task.not_before + max_isolation_wait)) {
         return upstream.count_unproven_runs(0) == 0;
     }
     return upstream.suspect_runs == 0 || upstream.count_unproven_runs(crashes_to_isolate) == 0;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t max_avoided_upstreams = 3;
 constexpr std::chrono::milliseconds failure_delay{50};
 constexpr std::chrono::milliseconds max_failure_delay{2000};
+// Progress of a long-running task that has started up.
+constexpr std::int32_t at_work_percent = 100;
 // How long an upstream without runs may hold a poll.
 constexpr std::int64_t empty_poll_wait_ms = 2000;
 // Allowed in addition to the stop timeout before an absent run is released.
@@ -198,6 +200,7 @@
     task->not_before = not_before;
     const auto& spec = job.job->spec.steps[ref.step];
     if (spec.is_long_running) {
+        task->not_before += get_crash_delay(task->crashed_runs.size());
         dirty_jobs_.insert(job.id);
     }
     if (spec.is_gang) {
@@ -349,6 +352,8 @@
     run.committed = spec.get_reserved_size();
     run.best_effort_milli = spec.is_best_effort ? spec.size.get_processors_milli() : 0;
     run.is_long_running = spec.is_long_running;
+    // A long-running task at work has survived its start, which is what crashes an upstream.
+    run.started_at = spec.is_long_running && row.percent >= at_work_percent ? time_point() : now;
     run.target_tail_ms = spec.target_tail_ms;
     run.image = tail_model_.get_index(spec.image);
     run.cpu_limit_percent = unknown_cpu_limit_percent;
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -95,6 +95,7 @@
     for (const auto& crashes : progress.crashes) {
         if (auto* task = job.find_task({job.id, crashes.occurrence, crashes.step, crashes.index})) {
             task->crashed_runs = crashes.runs;
+            task->not_before = clock.now;
         }
     }
     for (auto& [number, occurrence] : job.occurrences) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -366,7 +366,10 @@
     // Forgets the crashes of tasks whose runs have survived long enough.
     void clear_proven_runs(upstream_ledger& upstream);
     // Whether the task may start on the upstream in view of the crashes under it and its possible neighbors.
-    bool may_share(const upstream_ledger& upstream, const task_record& task) const;
+    bool may_share(const upstream_ledger& upstream, const task_record& task, bool is_long_running,
+                   time_point now) const;
+    // How long a long-running task waits before it starts again after this many crashes.
+    static std::chrono::milliseconds get_crash_delay(std::size_t crashes);
     double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
 
     // Restarts and leases of upstreams (cell_incarnations.cpp)
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -199,7 +199,8 @@
         passed.push_back(first);
         const auto& upstream = index_.get_upstream(first.slot);
         const auto& id = upstream.entry.id;
-        if ((tickets != nullptr && !tickets->tickets.contains(id)) || !may_share(upstream, task)) {
+        if ((tickets != nullptr && !tickets->tickets.contains(id)) ||
+            !may_share(upstream, task, search_.terms.spec->is_long_running, now)) {
             continue;
         }
         const auto task_cost = (is_avoided(task, id) ? avoided_cost : 0.0) + get_crash_cost(upstream, task);
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -147,6 +147,59 @@
     }
 }
 
+// Guards against a long-running job that is ended because upstreams crashed under its tasks: it has no limit
+// of attempts, and has to run again however its runs end.
+BOOST_AUTO_TEST_CASE(crashes_never_end_a_long_running_job) {
+    crash_fixture fixture(6);
+    fixture.cell.add_job("lasting", make_long_running_job(1));
+    const task_ref task{job_id("lasting"), 0, 0, 0};
+    fixture.deadly.insert(task);
+    fixture.run_for(seconds(10));
+    BOOST_TEST((fixture.cell.get_state("lasting") == job_phase::running));
+    // It backs off, so that it does not take one upstream after the other.
+    BOOST_TEST(fixture.starts[task] <= 10U);
+    fixture.deadly.clear();
+    fixture.run_for(seconds(3));
+    BOOST_TEST(fixture.cell.upstreams.count_running() == 1U);
+}
+
+// Guards against crashes that are counted against long-running tasks because the owner has changed: an
+// adopted run counted as just started, however long it had run.
+BOOST_AUTO_TEST_CASE(an_adopted_long_running_task_is_no_suspect) {
+    crash_fixture fixture(2);
+    fixture.cell.add_job("lasting", make_long_running_job(1));
+    fixture.run_for(seconds(7));
+    fixture.cell.take_over();
+    fixture.run_for(seconds(1));
+    for (const auto& entry : fixture.cell.entries) {
+        fixture.crash(entry.id);
+    }
+    fixture.run_for(seconds(1));
+    BOOST_TEST(fixture.cell.committed[job_id("lasting")].crashes.empty());
+    BOOST_TEST(fixture.cell.upstreams.count_running() == 1U);
+}
+
+// Guards against a long-running task that waits too long for an upstream of its own after two crashes: in a
+// busy cell each upstream has runs that started in the last seconds.
+BOOST_AUTO_TEST_CASE(a_long_running_task_waits_for_isolation_only_for_a_while) {
+    constexpr std::uint32_t upstreams = 3;
+    crash_fixture fixture(upstreams);
+    fixture.cell.add_job("lasting", make_long_running_job(1));
+    const task_ref task{job_id("lasting"), 0, 0, 0};
+    fixture.deadly.insert(task);
+    for (int i = 0; i < 500 && fixture.starts[task] < 2U; ++i) {
+        fixture.run_for(time_step);
+    }
+    BOOST_REQUIRE(fixture.starts[task] == 2U);
+    fixture.deadly.clear();
+    // One for each upstream.
+    auto young = cell_fixture::make_step(upstreams, 9000);
+    young.is_long_running = true;
+    fixture.cell.add_job("young", cell_fixture::make_job({young}));
+    fixture.run_for(seconds(2));
+    BOOST_TEST(fixture.cell.upstreams.count_running() == upstreams + 1U);
+}
+
 // Guards against starts beyond a capacity that has shrunk while tasks run, and against room that stays unused
 // when it has grown again.
 BOOST_AUTO_TEST_CASE(starts_follow_a_capacity_that_shrinks_and_grows) {
