Tell the next owner on which upstreams this one has granted no lease

The list of upstreams is now written with takeover notes: an upstream that has not responded 0.7 s after a takeover is listed as silent, with the last owner that may have granted leases there, and gets no lease and no start before it is listed no more. The wait is counted from the last action of that owner.

Also: long-running runs on a silent upstream are given up at the end of its leases, since there is no end to be learned by further polls; and a new owner that learns from the first report that an upstream has restarted allows for the leases that earlier owners granted to the new incarnation.

New: an upstream that is listed as silent gets no lease, and 40 seeds of random takeovers, crashes and partitions.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -14,7 +14,7 @@
 // A job id cannot have this form, so the key never collides with that of a job.
 constexpr std::string_view takeover_name = "!takeover";
 // The same for the key of the locations.
-constexpr std::string_view location_mark_name = "!mark";
+constexpr std::string_view notes_name = "!notes";
 // There is only one cell.
 constexpr std::string_view cell_name = "0";
 constexpr std::size_t max_upstreams = 20000;
@@ -126,8 +126,14 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, location_mark& mark) {
-    archive(mark.is_complete);
+void serialize(Archive& archive, silent_upstream& silent) {
+    archive(silent.upstream, silent.granting_token);
+}
+
+template <class Archive>
+void serialize(Archive& archive, takeover_notes& notes) {
+    archive(notes.has_complete_locations);
+    serialize_list(archive, notes.silent, max_upstreams);
 }
 
 template <class Archive>
@@ -165,8 +171,8 @@
 std::string encode_record(const run_locations& locations) {
     return encode_with_format(locations);
 }
-std::string encode_record(const location_mark& mark) {
-    return encode_with_format(mark);
+std::string encode_record(const takeover_notes& notes) {
+    return encode_with_format(notes);
 }
 
 std::string encode_record(const tail_snapshot& snapshot) {
@@ -208,8 +214,8 @@
     return decode_with_format<run_locations>(bytes, "record of locations");
 }
 
-absl::StatusOr<location_mark> decode_location_mark(std::string_view bytes) {
-    return decode_with_format<location_mark>(bytes, "mark of the locations");
+absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes) {
+    return decode_with_format<takeover_notes>(bytes, "takeover notes");
 }
 
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes) {
@@ -243,8 +249,8 @@
     return std::string(location_prefix) + id.get();
 }
 
-std::string make_location_mark_key() {
-    return std::string(location_prefix) + std::string(location_mark_name);
+std::string make_notes_key() {
+    return std::string(location_prefix) + std::string(notes_name);
 }
 
 std::string make_takeover_key() {
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -11,6 +11,7 @@
 #include "process/job_spec.hpp"
 #include "process/run_locations.hpp"
 #include "process/tail_model.hpp"
+#include "process/takeover_notes.hpp"
 #include "process/upstream_entry.hpp"
 #include "version/relay_choice.hpp"
 
@@ -51,7 +52,7 @@
 std::string encode_record(const overload_notice& notice);
 std::string encode_record(const known_upstreams& upstreams);
 std::string encode_record(const run_locations& locations);
-std::string encode_record(const location_mark& mark);
+std::string encode_record(const takeover_notes& notes);
 std::string encode_record(const tail_snapshot& snapshot);
 std::string encode_record(const live_peer& peer);
 
@@ -61,21 +62,22 @@
 absl::StatusOr<overload_notice> decode_overload_notice(std::string_view bytes);
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
 absl::StatusOr<run_locations> decode_run_locations(std::string_view bytes);
-absl::StatusOr<location_mark> decode_location_mark(std::string_view bytes);
+absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes);
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes);
 absl::StatusOr<live_peer> decode_live_peer(std::string_view bytes);
 
 // Keys of the records.
 constexpr std::string_view job_prefix = "jv/job/";
 constexpr std::string_view progress_prefix = "jv/progress/";
-// The locations of the runs of a long-running job, and their mark. Owners of earlier versions ignore them.
+// The locations of the runs of a long-running job, and the takeover notes. Owners of earlier versions ignore
+// them.
 constexpr std::string_view location_prefix = "jv/locations/";
 constexpr std::string_view owner_prefix = "jv/owner/";
 std::string make_job_key(const job_id& id);
 std::string make_cancel_key(const job_id& id);
 std::string make_progress_key(const job_id& id);
 std::string make_location_key(const job_id& id);
-std::string make_location_mark_key();
+std::string make_notes_key();
 // Written by each takeover. The key has the prefix of the jobs, so that a previous owner that watches this
 // prefix receives the takeover before any job that was accepted later.
 std::string make_takeover_key();
--- a/src/connection/memory_upstreams.cpp
+++ b/src/connection/memory_upstreams.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "connection/async_signal.hpp"
+#include "process/cell_limits.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane {
@@ -111,8 +112,7 @@
     }
     upstream->token = token;
     if (order.lease_until_clock_ms > 0) {
-        const auto until = upstream->booted_at + milliseconds(order.lease_until_clock_ms);
-        upstream->lease_until = std::max(upstream->lease_until, until);
+        extend_lease(*upstream, order.lease_until_clock_ms);
     }
     for (const auto& row : upstream->ended) {
         if (row.number <= order.acknowledged_end && row.how == run_end::done) {
@@ -162,13 +162,18 @@
     return {order_result::accepted, read_clock(*upstream)};
 }
 
+void memory_upstreams::extend_lease(simulated_upstream& upstream, std::int64_t until_clock_ms) {
+    const auto until = std::min(upstream.booted_at + milliseconds(until_clock_ms),
+                                get_now(clock_) + cell_limits().max_lease);
+    upstream.lease_until = std::max(upstream.lease_until, until);
+}
+
 order_response memory_upstreams::start(simulated_upstream& upstream, const start_order& order) {
     const auto clock = read_clock(upstream);
     if (order.lease_until_clock_ms < clock) {
         return {order_result::refused_late, clock};
     }
-    upstream.lease_until =
-        std::max(upstream.lease_until, upstream.booted_at + milliseconds(order.lease_until_clock_ms));
+    extend_lease(upstream, order.lease_until_clock_ms);
     const auto running = upstream.runs.find(order.task);
     if (running != upstream.runs.end()) {
         const bool is_same = running->second.run == order.run;
--- a/src/connection/memory_upstreams.hpp
+++ b/src/connection/memory_upstreams.hpp
@@ -95,6 +95,8 @@
 
     simulated_upstream* find(const upstream_id& id);
     std::int64_t read_clock(const simulated_upstream& upstream) const;
+    // A lease that would be longer than the longest one is shortened to it, as by the platform's upstreams.
+    void extend_lease(simulated_upstream& upstream, std::int64_t until_clock_ms);
     order_response start(simulated_upstream& upstream, const start_order& order);
     order_response stop(simulated_upstream& upstream, const stop_order& order);
     void end_run(simulated_upstream& upstream, const task_ref& task, run_end how);
--- a/src/process/owner_history.cpp
+++ b/src/process/owner_history.cpp
@@ -36,13 +36,19 @@
 
 time_point owner_history::get_last_action(std::uint64_t token) const {
     time_point last;
-    for (std::size_t i = 0; i < owners_.size() && owners_[i].token <= token; ++i) {
+    if (token <= 1) {
+        return last;
+    }
+    const auto known = std::find_if(owners_.begin(), owners_.end(),
+                                    [&](const seen_owner& owner) { return owner.token >= token; });
+    const auto end = static_cast<std::size_t>(known - owners_.begin()) + 1;
+    for (std::size_t i = 0; i < end; ++i) {
         // Owners that this process did not see had lost the cell when it saw this one.
         const bool has_unseen = i == 0 ? owners_[i].token > 1 : owners_[i - 1].token + 1 < owners_[i].token;
         if (has_unseen) {
             last = std::max(last, owners_[i].seen_at + proof_window_);
         }
-        if (i + 1 < owners_.size() && owners_[i].token < token) {
+        if (i + 1 < end) {
             last = std::max(last, get_last_action_at(i));
         }
     }
--- a/src/process/owner_history.hpp
+++ b/src/process/owner_history.hpp
@@ -36,8 +36,8 @@
     // Records that the owner with this token acts no more, and has not since the given time.
     void record_end(std::uint64_t token, time_point ended_by);
 
-    // Returns the time by which all owners before this token have acted for the last time. The token must be
-    // that of an owner that was recorded.
+    // Returns the time by which all owners before this token have acted for the last time. An owner with this
+    // or a higher token must have been recorded.
     time_point get_last_action(std::uint64_t token) const;
     // Returns the owners before this token that may act after the given time.
     std::vector<seen_owner> get_possible_owners(std::uint64_t token, time_point now) const;
@@ -46,7 +46,7 @@
     // Returns until when the owner at this position may act, by what is known of it.
     time_point get_last_action_at(std::size_t position) const;
 
-    const std::chrono::milliseconds proof_window_;
+    std::chrono::milliseconds proof_window_;
     // In ascending order of tokens.
     std::vector<seen_owner> owners_;
 };
--- a/src/process/run_locations.hpp
+++ b/src/process/run_locations.hpp
@@ -25,13 +25,4 @@
     bool operator==(const run_locations&) const = default;
 };
 
-// Written together with the list of known upstreams by each owner that records the locations of runs before
-// it starts them. A list that was written without it belongs to an owner that does not.
-struct location_mark {
-    // The locations of all long-running jobs are recorded, so a job without a record runs nowhere.
-    bool is_complete = false;
-
-    bool operator==(const location_mark&) const = default;
-};
-
 }  // namespace jacinthvane
--- /dev/null
+++ b/src/process/takeover_notes.hpp
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "process/ids.hpp"
+
+namespace jacinthvane {
+
+// An upstream that has not responded to the owner. No owner after the one with this fencing token has granted
+// a lease there.
+struct silent_upstream {
+    upstream_id upstream;
+    std::uint64_t granting_token = 0;
+
+    bool operator==(const silent_upstream&) const = default;
+};
+
+// What an owner writes for the next one together with the list of known upstreams. A list that was written
+// without it belongs to an owner of an earlier version, which does not keep what it says.
+struct takeover_notes {
+    // The locations of all long-running jobs are recorded, so a job without a record runs nowhere.
+    bool has_complete_locations = false;
+    // In ascending order of ids.
+    std::vector<silent_upstream> silent;
+
+    bool operator==(const takeover_notes&) const = default;
+};
+
+}  // namespace jacinthvane
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -152,6 +152,10 @@
     time_point responded_at;
     // An earlier owner may have started runs there that no report has listed yet.
     bool may_have_inherited_runs = false;
+    // The highest token of an earlier owner that may have granted leases there.
+    std::uint64_t granting_token = 0;
+    // The next owner is told, or will be, that this one has granted no lease there, so it must not.
+    bool is_declared_silent = false;
     // The last poll got no response.
     bool is_unresponsive = false;
     // Polls in a row that were sent after the leases had expired and returned no list.
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -453,17 +453,15 @@
     const auto owner = std::make_shared<cell_owner>(
         context_, ports_, owner_limits{settings_.limits, settings_.link_mbps}, claim, metrics_);
     report_process(row.token);
-    time_point last_earlier_action;
     {
         std::lock_guard lock(mutex_);
         history_.record_owner(row.token, row.owner, row.address, claim.claimed_at);
-        last_earlier_action = history_.get_last_action(row.token);
         owner_ = owner;
         owner_row_ = row;
         lease_ = lease->id;
         cell_revision_ = revision;
     }
-    owner->set_last_earlier_action(last_earlier_action);
+    owner->set_owner_history(get_history());
     owner->start(get_queues());
     spawn("ask_earlier_owners", ask_earlier_owners(owner));
     spawn("publish_overload", publish_overload(owner));
@@ -493,9 +491,9 @@
     return history_.get_possible_owners(token, std::chrono::steady_clock::now());
 }
 
-time_point cell_member::get_last_earlier_action(std::uint64_t token) const {
+owner_history cell_member::get_history() const {
     std::lock_guard lock(mutex_);
-    return history_.get_last_action(token);
+    return history_;
 }
 
 awaitable<void> cell_member::ask_earlier_owners(std::shared_ptr<cell_owner> owner) {
@@ -508,7 +506,7 @@
         for (const auto& earlier : possible) {
             co_await ask_earlier_owner(earlier, token);
         }
-        owner->set_last_earlier_action(get_last_earlier_action(token));
+        owner->set_owner_history(get_history());
         co_await wait_until(get_deadline(process_query_pause));
     }
 }
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -65,7 +65,7 @@
     awaitable<void> ask_earlier_owners(std::shared_ptr<cell_owner> owner);
     awaitable<void> ask_earlier_owner(seen_owner earlier, std::uint64_t token);
     std::vector<seen_owner> get_possible_owners(std::uint64_t token) const;
-    time_point get_last_earlier_action(std::uint64_t token) const;
+    owner_history get_history() const;
     awaitable<void> keep_lease(std::uint64_t lease);
     awaitable<void> release_lease(std::uint64_t lease);
     // Tells the other processes when this owner is overloaded, and when it no longer is.
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -54,10 +54,10 @@
     end("another process took the cell with token " + std::to_string(token));
 }
 
-void cell_owner::set_last_earlier_action(time_point last_action) {
+void cell_owner::set_owner_history(const owner_history& history) {
     {
         std::lock_guard lock(mutex_);
-        scheduler_.set_last_earlier_action(last_action);
+        scheduler_.set_owner_history(history);
     }
     wake_.notify_all();
 }
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -68,7 +68,7 @@
     // Ends at once, since another process owns the cell with this higher token.
     void supersede(std::uint64_t token);
     // See cell_scheduler.
-    void set_last_earlier_action(time_point last_action);
+    void set_owner_history(const owner_history& history);
 
     bool is_over() const;
     // Whether the jobs are loaded and ownership has not ended, so that queries about them can be answered.
@@ -92,7 +92,11 @@
     awaitable<bool> load();
     awaitable<bool> load_jobs();
     awaitable<bool> load_locations();
-    void apply_loaded_locations();
+    // Returns false if the item cannot be read.
+    bool load_location_item(const store_item& item);
+    void apply_loaded_notes();
+    // Returns the highest token of an earlier owner that may have granted leases on the upstream.
+    std::uint64_t get_granting_token(const upstream_id& id) const;
     awaitable<bool> load_upstreams();
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
@@ -122,8 +126,11 @@
     awaitable<bool> write_commit(progress_commit commit);
     awaitable<bool> resolve_commit();
     awaitable<bool> write_known_upstreams();
-    // Whether the locations in the store have become complete, which the next write of the list records.
-    bool update_location_mark();
+    // Finds out what has changed for the next owner; the list is then written again.
+    void update_notes();
+    // Called with the mutex held.
+    takeover_notes make_notes() const;
+    bool has_silent_upstreams() const;
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
     awaitable<void> log_summaries();
@@ -192,13 +199,14 @@
     std::uint64_t commit_number_ = 0;
     std::uint64_t upstreams_revision_ = 0;
     std::size_t recorded_upstreams_ = 0;
-    // The stored locations, and the revision of their mark when this owner loaded them.
+    // What the earlier owner left: the locations, and its notes with their revision.
     std::map<job_id, run_locations> loaded_locations_;
-    location_mark loaded_mark_;
-    std::uint64_t loaded_mark_revision_ = 0;
-    bool has_applied_locations_ = false;
-    // The mark that belongs to the list in the store.
-    location_mark mark_;
+    takeover_notes loaded_notes_;
+    std::uint64_t loaded_notes_revision_ = 0;
+    bool has_applied_notes_ = false;
+    // Whether the store has the locations of all long-running jobs, and the notes that it has.
+    bool has_complete_locations_ = false;
+    takeover_notes written_notes_;
     tail_snapshot written_tails_;
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -34,6 +34,7 @@
         co_return false;
     }
     upstreams_revision_ = known_item->revision;
+    apply_loaded_notes();
     registry_revision_ = listing->revision;
     if (known_item->revision > 0) {
         const auto known = decode_known_upstreams(known_item->value);
@@ -42,67 +43,14 @@
         } else {
             std::lock_guard lock(mutex_);
             for (const auto& entry : known->entries) {
-                scheduler_.expect_upstream(entry);
+                scheduler_.expect_upstream(entry, get_granting_token(entry.id));
             }
         }
     }
-    apply_loaded_locations();
     apply_upstream_changes(*listing, true);
     co_return co_await write_known_upstreams();
 }
 
-awaitable<bool> cell_owner::load_locations() {
-    const std::string prefix(location_prefix);
-    const auto listing = co_await ports_.store.list(prefix, get_store_deadline());
-    if (!listing.ok()) {
-        co_return false;
-    }
-    loaded_locations_.clear();
-    for (const auto& item : listing->items) {
-        if (item.key == make_location_mark_key()) {
-            const auto mark = decode_location_mark(item.value);
-            loaded_mark_ = mark.ok() ? *mark : location_mark{};
-            loaded_mark_revision_ = item.revision;
-            continue;
-        }
-        auto locations = decode_run_locations(item.value);
-        if (!locations.ok()) {
-            LOG(ERROR) << "event=locations_unreadable key=" << item.key << " error=\""
-                       << locations.status().message() << "\"";
-            // One job whose runs are unknown makes all of them unknown, since its record may name any
-            // upstream.
-            loaded_mark_.is_complete = false;
-            loaded_mark_revision_ = 0;
-            co_return true;
-        }
-        loaded_locations_.emplace(job_id(item.key.substr(prefix.size())), std::move(*locations));
-    }
-    co_return true;
-}
-
-void cell_owner::apply_loaded_locations() {
-    if (std::exchange(has_applied_locations_, true)) {
-        return;
-    }
-    // Owners of earlier versions write the list without the mark, and start tasks without a record.
-    const bool is_recorded = upstreams_revision_ == loaded_mark_revision_;
-    mark_.is_complete = upstreams_revision_ == 0 || (is_recorded && loaded_mark_.is_complete);
-    LOG(INFO) << "event=locations_loaded token=" << claim_.row.token << " jobs=" << loaded_locations_.size()
-              << " complete=" << mark_.is_complete;
-    std::lock_guard lock(mutex_);
-    scheduler_.set_inherited_locations(std::exchange(loaded_locations_, {}), mark_.is_complete);
-}
-
-bool cell_owner::update_location_mark() {
-    std::lock_guard lock(mutex_);
-    if (mark_.is_complete || !scheduler_.is_takeover_over(std::chrono::steady_clock::now())) {
-        return false;
-    }
-    scheduler_.complete_locations();
-    mark_.is_complete = scheduler_.are_locations_complete();
-    return mark_.is_complete;
-}
-
 void cell_owner::apply_upstream_changes(const upstream_changes& changes, bool is_listing) {
     std::lock_guard lock(mutex_);
     const auto now = std::chrono::steady_clock::now();
@@ -133,15 +81,17 @@
 
 awaitable<bool> cell_owner::write_known_upstreams() {
     known_upstreams known;
+    takeover_notes notes;
     {
         std::lock_guard lock(mutex_);
         known.entries = scheduler_.get_upstreams();
+        notes = make_notes();
     }
     store_transaction transaction;
     transaction.conditions = {{make_cell_key(), claim_.row_revision},
                               {make_upstreams_key(), upstreams_revision_}};
     transaction.writes = {{make_upstreams_key(), encode_record(known), 0},
-                          {make_location_mark_key(), encode_record(mark_), 0}};
+                          {make_notes_key(), encode_record(notes), 0}};
     const auto sent_at = get_suspend_aware_now();
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     if (!result.ok()) {
@@ -171,6 +121,8 @@
             }
         }
         scheduler_.record_upstreams(known.entries);
+        scheduler_.record_silent_upstreams(notes.silent);
+        written_notes_ = std::move(notes);
         recorded_upstreams_ = known.entries.size();
     }
     for (const auto& id : added) {
@@ -181,15 +133,19 @@
 
 bool cell_owner::is_recorded_list_outdated() const {
     std::lock_guard lock(mutex_);
-    return scheduler_.has_unrecorded_upstreams() || scheduler_.get_upstreams().size() != recorded_upstreams_;
+    return scheduler_.has_unrecorded_upstreams() ||
+           scheduler_.get_upstreams().size() != recorded_upstreams_ || make_notes() != written_notes_;
 }
 
 awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
-    constexpr std::int64_t wait_ms = 2000;
+    constexpr std::int64_t normal_wait_ms = 2000;
+    // While upstreams of earlier owners do not respond, the next owner is told soon which.
+    constexpr std::int64_t takeover_wait_ms = 250;
     constexpr milliseconds margin{700};
     // Registry entries change frequently; changes within this time are read with one call.
     constexpr milliseconds batch_window{300};
     while (!is_over()) {
+        const auto wait_ms = has_silent_upstreams() ? takeover_wait_ms : normal_wait_ms;
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
         auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
         bool is_listing = false;
@@ -203,8 +159,8 @@
         }
         revision = changes->revision;
         apply_upstream_changes(*changes, is_listing);
-        bool is_outdated = update_location_mark() || is_recorded_list_outdated();
-        while (is_outdated && !is_over() && !co_await write_known_upstreams()) {
+        update_notes();
+        while (is_recorded_list_outdated() && !is_over() && !co_await write_known_upstreams()) {
             co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
         }
         wake_.notify_all();
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -35,16 +35,17 @@
     return on_this_clock + lease_rounding_margin;
 }
 
-time_point cell_scheduler::get_inherited_leases_end() const {
-    return last_earlier_action_ + get_longest_lease();
+time_point cell_scheduler::get_leases_end(std::uint64_t granting_token) const {
+    return history_.get_last_action(granting_token + 1) + get_longest_lease();
 }
 
-void cell_scheduler::set_last_earlier_action(time_point last_action) {
-    last_earlier_action_ = std::min(last_earlier_action_, last_action);
+void cell_scheduler::set_owner_history(const owner_history& history) {
+    history_ = history;
     for (auto& [id, upstream] : upstreams_) {
         // Without a run, this owner has granted no lease there.
         if (upstream.may_have_inherited_runs && upstream.runs.empty()) {
-            upstream.leases_expire_at = std::min(upstream.leases_expire_at, get_inherited_leases_end());
+            const auto end = get_leases_end(upstream.granting_token);
+            upstream.leases_expire_at = std::min(upstream.leases_expire_at, end);
         }
     }
 }
@@ -73,11 +74,13 @@
     upstreams_.erase(found);
 }
 
-void cell_scheduler::expect_upstream(const upstream_entry& entry) {
+void cell_scheduler::expect_upstream(const upstream_entry& entry, std::uint64_t granting_token) {
     auto& upstream = add_upstream(entry);
     upstream.is_recorded = true;
     upstream.may_have_inherited_runs = true;
-    upstream.leases_expire_at = get_inherited_leases_end();
+    upstream.granting_token = granting_token;
+    upstream.is_declared_silent = granting_token + 1 < token_;
+    upstream.leases_expire_at = get_leases_end(granting_token);
 }
 
 void cell_scheduler::list_upstream(const upstream_entry& entry, time_point now) {
@@ -176,10 +179,16 @@
         // An upstream forgets the fencing token when it restarts, so until it has received that of this
         // owner, it carries out orders of the previous one.
         upstream.may_have_inherited_runs = true;
+        upstream.granting_token = token_ - 1;
         upstream.leases_expire_at = get_inherited_leases_end();
     } else {
         upstream.may_have_inherited_runs = false;
     }
+    if (source == incarnation_source::report) {
+        // Earlier owners may have granted leases to this incarnation before it received the new token.
+        const auto inherited_end = std::min(get_inherited_leases_end(), now + get_longest_lease());
+        upstream.leases_expire_at = std::max(upstream.leases_expire_at, inherited_end);
+    }
     if (upstream.has_unknown_incarnations()) {
         extend_leases(upstream, now);
     }
--- a/src/version/cell_locations.cpp
+++ b/src/version/cell_locations.cpp
@@ -2,12 +2,21 @@
 // on an upstream that does not respond; see cell_scheduler.hpp.
 
 #include <algorithm>
+#include <chrono>
+#include <set>
 #include <utility>
 
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
 
+namespace {
+
+// An upstream that has not responded to a new owner for this long is not expected to do so soon.
+constexpr std::chrono::milliseconds silence_time{700};
+
+}  // namespace
+
 void cell_scheduler::set_inherited_locations(const std::map<job_id, run_locations>& known, bool is_complete) {
     for (auto& [id, job] : jobs_) {
         const auto found = known.find(id);
@@ -85,11 +94,11 @@
     }
     // A long-running task has no end that would have to be learned from the upstream, so the end of the
     // leases suffices.
-    if (!task.inherited_run || now >= get_inherited_leases_end()) {
+    if (!task.inherited_run) {
         return false;
     }
     const auto found = upstreams_.find(task.inherited_run->upstream);
-    if (found == upstreams_.end()) {
+    if (found == upstreams_.end() || now >= get_leases_end(found->second.granting_token)) {
         return false;
     }
     // A run that is being stopped is not listed, and ends within this time.
@@ -118,6 +127,40 @@
     });
 }
 
+void cell_scheduler::declare_silent_upstreams(time_point now) {
+    if (now < owner_since_ + silence_time) {
+        return;
+    }
+    for (auto& [id, upstream] : upstreams_) {
+        const bool is_silent =
+            upstream.may_have_inherited_runs && !upstream.has_responded && upstream.runs.empty();
+        upstream.is_declared_silent = upstream.is_declared_silent || is_silent;
+    }
+}
+
+std::vector<silent_upstream> cell_scheduler::get_silent_upstreams() const {
+    std::vector<silent_upstream> silent;
+    for (const auto& [id, upstream] : upstreams_) {
+        if (upstream.is_declared_silent && !upstream.has_responded) {
+            silent.push_back({id, upstream.granting_token});
+        }
+    }
+    return silent;
+}
+
+void cell_scheduler::record_silent_upstreams(const std::vector<silent_upstream>& silent) {
+    std::set<upstream_id> ids;
+    for (const auto& entry : silent) {
+        ids.insert(entry.upstream);
+    }
+    for (auto& [id, upstream] : upstreams_) {
+        if (upstream.is_declared_silent && !ids.contains(id)) {
+            upstream.is_declared_silent = false;
+            mark_changed(upstream);
+        }
+    }
+}
+
 void cell_scheduler::release_unsent_runs(upstream_ledger& upstream, time_point now) {
     std::vector<run_key> unsent;
     for (const auto& [key, run] : upstream.runs) {
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -47,6 +47,9 @@
         if (upstream.is_unresponsive || upstream.entry.is_leaving || !upstream.is_listed) {
             release_unsent_runs(upstream, now);
         }
+        if (upstream.is_unresponsive && now >= upstream.leases_expire_at) {
+            release_long_running_runs(upstream, now);
+        }
         const bool is_unreachable = upstream.is_unresponsive || !upstream.has_responded;
         // It has responded to this owner, so the ledger lists every run there, including those of earlier
         // owners. Without any it can be removed before its leases expire.
@@ -70,6 +73,19 @@
     }
 }
 
+// The end of such a run need not be learned from the upstream, so no further poll has to fail.
+void cell_scheduler::release_long_running_runs(upstream_ledger& upstream, time_point now) {
+    std::vector<run_key> lapsed;
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.is_long_running) {
+            lapsed.push_back(key);
+        }
+    }
+    for (const auto& key : lapsed) {
+        release_run(upstream, key, now);
+    }
+}
+
 void cell_scheduler::repeat_orders(time_point now, bool may_start, std::vector<upstream_order>& orders) {
     std::vector<upstream_index::slot_number> remaining;
     for (const auto slot : std::exchange(order_slots_, {})) {
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -17,10 +17,9 @@
 }  // namespace
 
 cell_scheduler::cell_scheduler(cell_limits limits, std::uint64_t token, time_point owner_since)
-    : limits_(limits),
-      token_(token),
-      owner_since_(owner_since),
-      last_earlier_action_(owner_since + limits.proof_window) {}
+    : limits_(limits), token_(token), owner_since_(owner_since), history_(limits.proof_window) {
+    history_.record_owner(token, std::string(), std::string(), owner_since);
+}
 
 void cell_scheduler::set_queues(std::shared_ptr<const queue_index> queues) {
     // A change may arrive while the owner starts with the version before.
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -19,8 +19,10 @@
 #include "process/job_progress.hpp"
 #include "process/job_record.hpp"
 #include "process/job_spec.hpp"
+#include "process/owner_history.hpp"
 #include "process/run_locations.hpp"
 #include "process/tail_model.hpp"
+#include "process/takeover_notes.hpp"
 #include "process/upstream_entry.hpp"
 #include "process/upstream_index.hpp"
 #include "process/upstream_ledger.hpp"
@@ -134,8 +136,9 @@
     // deleted.
     std::vector<job_id> take_expired_jobs(std::int64_t now_unix_ms, std::size_t limit);
 
-    // Adds an upstream on which an earlier owner may have started tasks.
-    void expect_upstream(const upstream_entry& entry);
+    // Adds an upstream on which earlier owners may have started tasks, the last of them the one with the
+    // given token.
+    void expect_upstream(const upstream_entry& entry, std::uint64_t granting_token);
     // Adds or updates an upstream that the platform lists.
     void list_upstream(const upstream_entry& entry, time_point now);
     void unlist_upstream(const upstream_id& id);
@@ -204,9 +207,15 @@
 
     // An upstream has received a higher fencing token, so another process owns the cell.
     bool is_fenced() const { return is_fenced_; }
-    // Sets the time by which all earlier owners have given their last orders. Without it, they may act for
-    // the proof window after the takeover. It may be called again when less becomes known to be possible.
-    void set_last_earlier_action(time_point last_action);
+    // Sets what is known of earlier owners. Without it, they may act for the proof window after the takeover.
+    // It is called again when they are known to have ended.
+    void set_owner_history(const owner_history& history);
+    // Excludes the upstreams that have not responded from leases and starts, and ends that for those that
+    // have. The next owner need not wait for this one's leases there.
+    void declare_silent_upstreams(time_point now);
+    std::vector<silent_upstream> get_silent_upstreams() const;
+    // Confirms that the list of silent upstreams is in the store.
+    void record_silent_upstreams(const std::vector<silent_upstream>& silent);
     // Every upstream that may run tasks of an earlier owner has responded, or all its leases have expired.
     // Tasks of inherited jobs start only then.
     bool is_takeover_resolved(time_point now) const;
@@ -384,8 +393,9 @@
     void extend_leases(upstream_ledger& upstream, time_point now);
     // The longest lease, as measured by the clock of this process.
     std::chrono::milliseconds get_longest_lease() const;
-    // When every lease that an earlier owner granted has ended.
-    time_point get_inherited_leases_end() const;
+    // When every lease has ended that an owner up to this token granted, or any earlier owner.
+    time_point get_leases_end(std::uint64_t granting_token) const;
+    time_point get_inherited_leases_end() const { return get_leases_end(token_ - 1); }
     std::int64_t grant_lease(upstream_ledger& upstream, time_point now);
 
     // Reports (cell_reports.cpp)
@@ -454,6 +464,7 @@
     // Does the work that is due at an interval and not with each decision.
     void maintain_runs(clock_reading clock);
     void release_expired_runs(time_point now);
+    void release_long_running_runs(upstream_ledger& upstream, time_point now);
     // Sends the orders again whose time has come.
     void repeat_orders(time_point now, bool may_start, std::vector<upstream_order>& orders);
     // The same for one upstream. Returns whether it has further orders to send later.
@@ -518,8 +529,7 @@
     const cell_limits limits_;
     const std::uint64_t token_;
     const time_point owner_since_;
-    // Earlier owners have given their last orders by then.
-    time_point last_earlier_action_;
+    owner_history history_;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
     std::shared_ptr<const queue_index> queues_;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -44,7 +44,8 @@
 
 bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) {
     return upstream.is_listed && upstream.is_recorded && upstream.has_responded &&
-           !upstream.is_unresponsive && !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
+           !upstream.is_unresponsive && !upstream.is_declared_silent && !upstream.entry.is_leaving &&
+           !upstream.health.is_blocked(now);
 }
 
 void cell_scheduler::update_index(time_point now) {
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -102,6 +102,13 @@
         }
     }
     scheduler->record_upstreams(entries);
+    scheduler->declare_silent_upstreams(now);
+    const auto declared = scheduler->get_silent_upstreams();
+    scheduler->record_silent_upstreams(declared);
+    silent.clear();
+    for (const auto& entry : declared) {
+        silent.emplace(entry.upstream, entry.granting_token);
+    }
     const auto decisions = scheduler->decide(read_clock(), may_start);
     for (const auto& order : decisions.orders) {
         const bool is_lost = loses_order && loses_order(order);
@@ -131,7 +138,7 @@
     ++token;
     scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
-    scheduler->set_last_earlier_action(history.get_last_action(token));
+    scheduler->set_owner_history(history);
     for (const auto& [id, progress] : committed) {
         if (is_final(progress.state)) {
             scheduler->add_ended_job(id, progress);
@@ -145,7 +152,8 @@
     scheduler->set_inherited_locations(locations, has_complete_locations);
     for (const auto& entry : entries) {
         if (has_upstream_list) {
-            scheduler->expect_upstream(entry);
+            const auto known = silent.find(entry.id);
+            scheduler->expect_upstream(entry, known == silent.end() ? token - 1 : known->second);
         }
         scheduler->list_upstream(entry, clock->get_now());
     }
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -48,6 +48,8 @@
     std::map<job_id, accepted_job> accepted;
     std::map<job_id, job_progress> committed;
     std::map<job_id, run_locations> locations;
+    // The silent upstreams in the store, with the last owner that may have granted leases there.
+    std::map<upstream_id, std::uint64_t> silent;
     owner_history history{cell_limits().proof_window};
     // Whether the store has the locations of all long-running jobs, as with an owner before that records
     // them.
--- a/tests/lasting_task_test.cpp
+++ b/tests/lasting_task_test.cpp
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <random>
 #include <set>
 #include <string>
 
@@ -142,4 +143,105 @@
     check_no_violations(cell);
 }
 
+// Guards against a takeover that starts the wait for an upstream anew each time: tasks that were there never
+// ran again while the owner changed every few seconds.
+BOOST_AUTO_TEST_CASE(further_takeovers_do_not_prolong_the_wait_for_a_silent_upstream) {
+    cell_fixture cell(4);
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(2));
+    cell.upstreams.set_partitioned(find_busy_upstream(cell), true);
+    for (int takeover = 0; takeover < 4; ++takeover) {
+        cell.take_over();
+        cell.run_for(seconds(5));
+    }
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    check_no_violations(cell);
+}
+
+// Guards against a lease that the next owner does not wait for: an upstream that the store lists as silent
+// gets none until it is listed no more.
+BOOST_AUTO_TEST_CASE(an_upstream_that_is_listed_as_silent_gets_no_lease) {
+    cell_fixture cell(3);
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(2));
+    const auto silent = find_busy_upstream(cell);
+    cell.upstreams.set_partitioned(silent, true);
+    cell.take_over();
+    cell.run_for(seconds(1));
+    BOOST_REQUIRE(cell.scheduler->get_silent_upstreams().size() == 1U);
+    cell.upstreams.set_partitioned(silent, false);
+    const auto now = cell.clock->get_now();
+    const auto response = cell.upstreams.poll_now(silent.get(), poll_order{silent}, cell.token);
+    cell.scheduler->apply_report(silent, response.report, cell.read_clock());
+    BOOST_TEST(cell.scheduler->make_poll(silent, now, true, true).lease_until_clock_ms == 0);
+    cell.scheduler->record_silent_upstreams(cell.scheduler->get_silent_upstreams());
+    BOOST_TEST(cell.scheduler->make_poll(silent, now, true, true).lease_until_clock_ms > 0);
+}
+
+// Guards against a task that runs twice because its upstream had restarted under the earlier owner: a new
+// owner that learned so from the first report forgot that earlier leases may be valid there.
+BOOST_AUTO_TEST_CASE(leases_of_a_restarted_upstream_outlive_the_takeover) {
+    cell_fixture cell(2);
+    cell.add_job("lasting", make_long_running_job(1));
+    cell.run_for(seconds(1));
+    // Both upstreams restart, so that the run is in an incarnation that the stored list does not name.
+    for (const auto& entry : cell.entries) {
+        cell.upstreams.restart(entry.id, 2);
+        cell.run_for(seconds(2));
+    }
+    const auto busy = find_busy_upstream(cell);
+    BOOST_REQUIRE(cell.upstreams.count_running(busy) == 1U);
+    const auto starts = cell.upstreams.get_start_count();
+    cell.take_over();
+    while (!cell.scheduler->find_upstream(busy)->has_responded) {
+        cell.run_for(milliseconds(20));
+    }
+    // The new owner renews no lease there before the upstream goes silent.
+    cell.may_start = false;
+    cell.upstreams.set_partitioned(busy, true);
+    cell.run_for(seconds(1));
+    cell.may_start = true;
+    cell.run_for(seconds(4));
+    BOOST_TEST(cell.upstreams.get_start_count() == starts);
+    cell.run_for(seconds(3));
+    BOOST_TEST(cell.upstreams.get_start_count() == starts + 1U);
+    check_no_violations(cell);
+}
+
+// Guards against tasks that run twice, or not at all, after any sequence of takeovers, crashes and
+// partitions: 5 s after the longest lease could last, with all upstreams back, every task runs once.
+BOOST_AUTO_TEST_CASE(tasks_run_once_after_random_faults) {
+    constexpr unsigned seeds = 40;
+    for (unsigned seed = 1; seed <= seeds; ++seed) {
+        std::mt19937 random(seed);
+        const auto pick = [&](std::size_t count) { return random() % count; };
+        cell_fixture cell(6);
+        cell.add_job("lasting", make_long_running_job());
+        std::int64_t boot = 1;
+        for (int fault = 0; fault < 25; ++fault) {
+            const auto id = cell.entries[pick(cell.entries.size())].id;
+            switch (pick(4)) {
+                case 0:
+                    cell.take_over();
+                    break;
+                case 1:
+                    cell.upstreams.restart(id, ++boot);
+                    break;
+                default:
+                    cell.upstreams.set_partitioned(id, pick(2) == 0);
+                    break;
+            }
+            cell.run_for(milliseconds(pick(3000)));
+        }
+        for (const auto& entry : cell.entries) {
+            cell.upstreams.set_partitioned(entry.id, false);
+        }
+        cell.run_for(cell_limits().max_lease + seconds(5));
+        BOOST_TEST_CONTEXT("seed " << seed) {
+            BOOST_TEST(cell.upstreams.count_running() == task_count);
+            check_no_violations(cell);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/owner_history_test.cpp
+++ b/tests/owner_history_test.cpp
@@ -67,4 +67,14 @@
     BOOST_TEST((history.get_last_action(8) == at(seconds(26))));
 }
 
+BOOST_AUTO_TEST_CASE(an_unseen_token_is_bounded_by_the_next_one) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(1, "a", "a:1", at(seconds(0)));
+    history.record_owner(4, "d", "d:1", at(seconds(20)));
+    history.record_owner(5, "e", "e:1", at(seconds(40)));
+    BOOST_TEST((history.get_last_action(1) == time_point()));
+    BOOST_TEST((history.get_last_action(2) == at(seconds(26))));
+    BOOST_TEST((history.get_last_action(5) == at(seconds(46))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
