Do not wait for owners that are known to have ended before this process started

The takeover notes now say which owners have ended, once their leases have too.

Test: owner_history/owners_that_are_known_to_have_ended_are_left_out (new with its interface).

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -134,6 +134,7 @@
 void serialize(Archive& archive, takeover_notes& notes) {
     archive(notes.has_complete_locations);
     serialize_list(archive, notes.silent, max_upstreams);
+    archive(notes.ended_before);
 }
 
 template <class Archive>
--- a/src/process/owner_history.cpp
+++ b/src/process/owner_history.cpp
@@ -30,13 +30,17 @@
     }
 }
 
+void owner_history::record_ended_before(std::uint64_t token) {
+    ended_before_ = std::max(ended_before_, token);
+}
+
 time_point owner_history::get_last_action_at(std::size_t position) const {
     return std::min(owners_[position].ended_by, owners_[position + 1].seen_at + proof_window_);
 }
 
 time_point owner_history::get_last_action(std::uint64_t token) const {
     time_point last;
-    if (token <= 1) {
+    if (token <= ended_before_) {
         return last;
     }
     const auto known = std::find_if(owners_.begin(), owners_.end(),
@@ -44,11 +48,11 @@
     const auto end = static_cast<std::size_t>(known - owners_.begin()) + 1;
     for (std::size_t i = 0; i < end; ++i) {
         // Owners that this process did not see had lost the cell when it saw this one.
-        const bool has_unseen = i == 0 ? owners_[i].token > 1 : owners_[i - 1].token + 1 < owners_[i].token;
-        if (has_unseen) {
+        const auto first_unseen = std::max(i == 0 ? 1 : owners_[i - 1].token + 1, ended_before_);
+        if (first_unseen < owners_[i].token) {
             last = std::max(last, owners_[i].seen_at + proof_window_);
         }
-        if (i + 1 < end) {
+        if (i + 1 < end && owners_[i].token >= ended_before_) {
             last = std::max(last, get_last_action_at(i));
         }
     }
--- a/src/process/owner_history.hpp
+++ b/src/process/owner_history.hpp
@@ -35,6 +35,8 @@
                       time_point now);
     // Records that the owner with this token acts no more, and has not since the given time.
     void record_end(std::uint64_t token, time_point ended_by);
+    // Records that all owners before this token have ended so long ago that they need not be waited for.
+    void record_ended_before(std::uint64_t token);
 
     // Returns the time by which all owners before this token have acted for the last time. An owner with this
     // or a higher token must have been recorded.
@@ -49,6 +51,7 @@
     std::chrono::milliseconds proof_window_;
     // In ascending order of tokens.
     std::vector<seen_owner> owners_;
+    std::uint64_t ended_before_ = 1;
 };
 
 }  // namespace jacinthvane
--- a/src/process/takeover_notes.hpp
+++ b/src/process/takeover_notes.hpp
@@ -23,6 +23,8 @@
     bool has_complete_locations = false;
     // In ascending order of ids.
     std::vector<silent_upstream> silent;
+    // All owners before this token act no more, and their leases have ended.
+    std::uint64_t ended_before = 0;
 
     bool operator==(const takeover_notes&) const = default;
 };
--- a/src/request/cell_takeover.cpp
+++ b/src/request/cell_takeover.cpp
@@ -63,8 +63,9 @@
     has_complete_locations_ = upstreams_revision_ == 0 || loaded_notes_.has_complete_locations;
     LOG(INFO) << "event=takeover_notes_loaded token=" << claim_.row.token
               << " located_jobs=" << loaded_locations_.size() << " complete=" << has_complete_locations_
-              << " silent=" << loaded_notes_.silent.size();
+              << " silent=" << loaded_notes_.silent.size() << " ended_before=" << loaded_notes_.ended_before;
     std::lock_guard lock(mutex_);
+    scheduler_.record_ended_before(loaded_notes_.ended_before);
     scheduler_.set_inherited_locations(std::exchange(loaded_locations_, {}), has_complete_locations_);
 }
 
@@ -76,7 +77,8 @@
 }
 
 takeover_notes cell_owner::make_notes() const {
-    return {has_complete_locations_, scheduler_.get_silent_upstreams()};
+    const auto now = std::chrono::steady_clock::now();
+    return {has_complete_locations_, scheduler_.get_silent_upstreams(), scheduler_.get_ended_before(now)};
 }
 
 bool cell_owner::has_silent_upstreams() const {
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -41,6 +41,7 @@
 
 void cell_scheduler::set_owner_history(const owner_history& history) {
     history_ = history;
+    history_.record_ended_before(ended_before_);
     for (auto& [id, upstream] : upstreams_) {
         // Without a run, this owner has granted no lease there.
         if (upstream.may_have_inherited_runs && upstream.runs.empty()) {
@@ -50,6 +51,15 @@
     }
 }
 
+void cell_scheduler::record_ended_before(std::uint64_t token) {
+    ended_before_ = std::max(ended_before_, token);
+    history_.record_ended_before(ended_before_);
+}
+
+std::uint64_t cell_scheduler::get_ended_before(time_point now) const {
+    return now >= get_inherited_leases_end() ? token_ : ended_before_;
+}
+
 upstream_ledger& cell_scheduler::add_upstream(const upstream_entry& entry) {
     const auto [position, is_new] = upstreams_.try_emplace(entry.id);
     auto& upstream = position->second;
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -210,6 +210,10 @@
     // Sets what is known of earlier owners. Without it, they may act for the proof window after the takeover.
     // It is called again when they are known to have ended.
     void set_owner_history(const owner_history& history);
+    // Records that all owners before this token act no more, and that their leases have ended.
+    void record_ended_before(std::uint64_t token);
+    // Returns the highest token for which that is known.
+    std::uint64_t get_ended_before(time_point now) const;
     // Excludes the upstreams that have not responded from leases and starts, and ends that for those that
     // have. The next owner need not wait for this one's leases there.
     void declare_silent_upstreams(time_point now);
@@ -530,6 +534,7 @@
     const std::uint64_t token_;
     const time_point owner_since_;
     owner_history history_;
+    std::uint64_t ended_before_ = 1;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
     std::shared_ptr<const queue_index> queues_;
--- a/tests/earlier_owner_test.cpp
+++ b/tests/earlier_owner_test.cpp
@@ -115,7 +115,7 @@
                           {make_progress_key(lasting), encode_record(progress), 0},
                           {make_location_key(lasting), encode_record(locations), 0},
                           {make_upstreams_key(), encode_record(known_upstreams{make_upstreams()}), 0},
-                          {make_notes_key(), encode_record(takeover_notes{true, {}}), 0}};
+                          {make_notes_key(), encode_record(takeover_notes{true, {}, 1}), 0}};
     store.apply(transaction);
 }
 
--- a/tests/owner_history_test.cpp
+++ b/tests/owner_history_test.cpp
@@ -77,4 +77,18 @@
     BOOST_TEST((history.get_last_action(5) == at(seconds(46))));
 }
 
+// Guards against a restarted process that takes the cell again and waits for owners that ended long before it
+// started: 8 tasks did not run for 12 s.
+BOOST_AUTO_TEST_CASE(owners_that_are_known_to_have_ended_are_left_out) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(5, "e", "e:1", at(seconds(10)));
+    history.record_owner(6, "f", "f:1", at(seconds(11)));
+    history.record_end(5, at(seconds(9)));
+    history.record_ended_before(5);
+    BOOST_TEST((history.get_last_action(6) == at(seconds(9))));
+    BOOST_TEST((history.get_last_action(5) == time_point()));
+    history.record_ended_before(6);
+    BOOST_TEST((history.get_last_action(6) == time_point()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
