Do not give a task up for the crash of an upstream that did not accept its start

Many upstreams crash at once, and start orders are sent to some that have crashed already.

The new test failed before.

--- a/src/version/cell_crashes.cpp
+++ b/src/version/cell_crashes.cpp
@@ -16,7 +16,8 @@
 
 // Crashes after which a task starts only where no other run can have caused the next one.
 constexpr std::size_t crashes_to_isolate = 2;
-// Crashes after which a task is given up if no other run can have caused the last one, and in any case.
+// Crashes after which a task is given up if no other run can have caused the last one and the upstream had
+// accepted the start, and in any case.
 constexpr std::size_t crashes_to_give_up_alone = 2;
 constexpr std::size_t crashes_to_give_up = 3;
 // A long-running task is never given up. Before it starts after further crashes it waits for twice as long
@@ -58,7 +59,7 @@
     }
 }
 
-void cell_scheduler::count_crash(const upstream_ledger& upstream, const run_key& key, std::size_t suspects,
+void cell_scheduler::count_crash(upstream_ledger& upstream, const run_key& key, std::size_t suspects,
                                  time_point now) {
     const auto& [ref, run] = key;
     auto* job = find_job(ref.job);
@@ -73,7 +74,10 @@
     }
     runs.insert(position, run);
     dirty_jobs_.insert(job->id);
-    const bool is_alone = suspects == 1;
+    // An upstream that crashed before it responded to the start may have crashed before it received it.
+    const auto* crashed = upstream.find_run(ref, run);
+    const bool is_confirmed = crashed != nullptr && crashed->accepted_at != time_point();
+    const bool is_alone = suspects == 1 && is_confirmed;
     const bool is_long_running = job->job->spec.steps[ref.step].is_long_running;
     const bool is_given_up =
         !is_long_running && runs.size() >= (is_alone ? crashes_to_give_up_alone : crashes_to_give_up);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -374,8 +374,7 @@
     // run that may be in the next incarnation is counted only when it turns out not to be there.
     void record_crash(upstream_ledger& upstream, time_point now);
     void count_crash_of_earlier_incarnation(upstream_ledger& upstream, const run_key& key, time_point now);
-    void count_crash(const upstream_ledger& upstream, const run_key& key, std::size_t suspects,
-                     time_point now);
+    void count_crash(upstream_ledger& upstream, const run_key& key, std::size_t suspects, time_point now);
     // Forgets the crashes of tasks whose runs have survived long enough.
     void clear_proven_runs(upstream_ledger& upstream);
     // Whether the task may start on the upstream in view of the crashes under it and its possible neighbors.
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -163,6 +163,31 @@
     BOOST_TEST(fixture.cell.upstreams.count_running() == 1U);
 }
 
+// Guards against a sound task that is given up for the crash of an upstream that had never received it: the
+// start order was sent when the upstream had already crashed, together with many others.
+BOOST_AUTO_TEST_CASE(a_crash_before_the_response_is_not_conclusive) {
+    cell_fixture cell(4);
+    std::int64_t boot = 1;
+    std::size_t starts = 0;
+    cell.loses_order = [&](const upstream_order& order) {
+        const auto* start = std::get_if<start_order>(&order);
+        starts += start != nullptr ? 1 : 0;
+        if (start == nullptr || starts != 2) {
+            return false;
+        }
+        cell.upstreams.restart(start->upstream, ++boot);
+        return true;
+    };
+    cell.add_job("sound", cell_fixture::make_job({cell_fixture::make_step(1)}));
+    cell.run_for(milliseconds(500));
+    for (const auto& entry : cell.entries) {
+        cell.upstreams.restart(entry.id, ++boot);
+    }
+    cell.run_for(seconds(5));
+    BOOST_TEST((cell.get_state("sound") == job_phase::done));
+    BOOST_TEST(starts == 3U);
+}
+
 // Guards against crashes that are counted against long-running tasks because the owner has changed: an
 // adopted run counted as just started, however long it had run.
 BOOST_AUTO_TEST_CASE(an_adopted_long_running_task_is_no_suspect) {
