--- a/src/version/cell_crashes.cpp
+++ b/src/version/cell_crashes.cpp
@@ -99,6 +99,13 @@
     return std::min(first_crash_delay * (1U << doublings), max_crash_delay);
 }
 
+std::uint32_t cell_scheduler::get_earlier_crashes(const task_record& task, bool is_long_running) {
+    const auto crashes = task.crashed_runs.size();
+    // A long-running task sees many crashes that it did not cause. Other tasks avoid its upstream, but are
+    // not excluded from it.
+    return static_cast<std::uint32_t>(is_long_running ? std::min(crashes, crashes_to_isolate - 1) : crashes);
+}
+
 void cell_scheduler::clear_proven_runs(upstream_ledger& upstream) {
     if (upstream.suspect_runs == 0) {
         return;
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -197,7 +197,7 @@
     record.best_effort_milli = spec.is_best_effort ? spec.size.get_processors_milli() : 0;
     record.is_long_running = spec.is_long_running;
     record.target_tail_ms = spec.target_tail_ms;
-    record.earlier_crashes = static_cast<std::uint32_t>(task.crashed_runs.size());
+    record.earlier_crashes = get_earlier_crashes(task, spec.is_long_running);
     record.image = tail_model_.get_index(spec.image);
     record.cpu_limit_changed_at = now;
     record.is_order_sent = !spec.is_long_running;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -358,7 +358,7 @@
     run.target_tail_ms = spec.target_tail_ms;
     run.image = tail_model_.get_index(spec.image);
     run.cpu_limit_percent = unknown_cpu_limit_percent;
-    run.earlier_crashes = static_cast<std::uint32_t>(task->crashed_runs.size());
+    run.earlier_crashes = get_earlier_crashes(*task, spec.is_long_running);
     const bool is_wanted =
         task->phase == task_phase::waiting && row.run > task->last_run && !is_final(job->pending_end);
     if (is_wanted) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -380,6 +380,8 @@
     // Whether the task may start on the upstream in view of the crashes under it and its possible neighbors.
     bool may_share(const upstream_ledger& upstream, const task_record& task, bool is_long_running,
                    time_point now) const;
+    // Returns the crashes under the task that a run of it records.
+    static std::uint32_t get_earlier_crashes(const task_record& task, bool is_long_running);
     // How long a long-running task waits before it starts again after this many crashes.
     static std::chrono::milliseconds get_crash_delay(std::size_t crashes);
     double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
