Write the list of silent upstreams again after any of them has responded, also if no write had succeeded

Found while reading the change: an upstream that is declared silent and responds while the write of the list fails would get no lease and no start again, since the list without it looks like the one that was last written. Also: an uptime without bound in the response of another process is refused, and a run that a report has listed counts as accepted.

--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -133,7 +133,7 @@
 
 bool cell_owner::is_recorded_list_outdated() const {
     std::lock_guard lock(mutex_);
-    return scheduler_.has_unrecorded_upstreams() ||
+    return scheduler_.has_unrecorded_upstreams() || scheduler_.has_answered_silent_upstreams() ||
            scheduler_.get_upstreams().size() != recorded_upstreams_ || make_notes() != written_notes_;
 }
 
--- a/src/request/peer_queries.cpp
+++ b/src/request/peer_queries.cpp
@@ -27,6 +27,8 @@
 constexpr int not_found_status = 404;
 constexpr int not_owner_status = 421;
 constexpr std::size_t max_text_bytes = 4096;
+// About 30 years.
+constexpr std::int64_t max_uptime_ms = 1'000'000'000'000;
 
 std::optional<job_phase> parse_state(std::string_view name) {
     for (const auto state :
@@ -119,7 +121,7 @@
     json_reader reader(*body, "the report of a process");
     process_report report;
     report.process = reader.read_text("process", max_text_bytes);
-    report.uptime_ms = reader.read_integer("uptime_ms", 0, INT64_MAX);
+    report.uptime_ms = reader.read_integer("uptime_ms", 0, max_uptime_ms);
     report.acting_token = static_cast<std::uint64_t>(reader.read_integer("acting_token", 0, INT64_MAX));
     if (!reader.get_status().ok()) {
         return reader.get_status();
--- a/src/version/cell_crashes.cpp
+++ b/src/version/cell_crashes.cpp
@@ -76,7 +76,8 @@
     dirty_jobs_.insert(job->id);
     // An upstream that crashed before it responded to the start may have crashed before it received it.
     const auto* crashed = upstream.find_run(ref, run);
-    const bool is_confirmed = crashed != nullptr && crashed->accepted_at != time_point();
+    const bool is_confirmed =
+        crashed != nullptr && (crashed->accepted_at != time_point() || crashed->is_listed);
     const bool is_alone = suspects == 1 && is_confirmed;
     const bool is_long_running = job->job->spec.steps[ref.step].is_long_running;
     const bool is_given_up =
--- a/src/version/cell_locations.cpp
+++ b/src/version/cell_locations.cpp
@@ -148,6 +148,12 @@
     return silent;
 }
 
+bool cell_scheduler::has_answered_silent_upstreams() const {
+    return std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& entry) {
+        return entry.second.is_declared_silent && entry.second.has_responded;
+    });
+}
+
 void cell_scheduler::record_silent_upstreams(const std::vector<silent_upstream>& silent) {
     std::set<upstream_id> ids;
     for (const auto& entry : silent) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -218,6 +218,8 @@
     // have. The next owner need not wait for this one's leases there.
     void declare_silent_upstreams(time_point now);
     std::vector<silent_upstream> get_silent_upstreams() const;
+    // Whether an upstream that is, or may be, in the stored list of silent ones has responded.
+    bool has_answered_silent_upstreams() const;
     // Confirms that the list of silent upstreams is in the store.
     void record_silent_upstreams(const std::vector<silent_upstream>& silent);
     // Every upstream that may run tasks of an earlier owner has responded, or all its leases have expired.
--- a/tests/lasting_task_test.cpp
+++ b/tests/lasting_task_test.cpp
@@ -174,7 +174,10 @@
     const auto response = cell.upstreams.poll_now(silent.get(), poll_order{silent}, cell.token);
     cell.scheduler->apply_report(silent, response.report, cell.read_clock());
     BOOST_TEST(cell.scheduler->make_poll(silent, now, true, true).lease_until_clock_ms == 0);
+    // The list is written again also if no write of it has succeeded since.
+    BOOST_TEST(cell.scheduler->has_answered_silent_upstreams());
     cell.scheduler->record_silent_upstreams(cell.scheduler->get_silent_upstreams());
+    BOOST_TEST(!cell.scheduler->has_answered_silent_upstreams());
     BOOST_TEST(cell.scheduler->make_poll(silent, now, true, true).lease_until_clock_ms > 0);
 }
 
