Share the release of runs and the check of responses; correct two comments

Found while reading the whole change again; behaviour and messages stay as they are. release_unsent_runs and release_long_running_runs were one loop with two conditions (release_runs_if); three decoders of peer_queries checked the status and parsed the body each for itself (read_body). The comment on forgotten owners said that they act no more, but they count as unseen ones; the head of cell_locations.cpp left out the silent upstreams.

--- a/src/process/owner_history.cpp
+++ b/src/process/owner_history.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// Owners that are older act no more, since each took the cell some time after the one before.
+// The oldest ones are forgotten, and then count as owners that this process did not see.
 constexpr std::size_t max_owners = 16;
 
 }  // namespace
--- a/src/request/peer_queries.cpp
+++ b/src/request/peer_queries.cpp
@@ -40,6 +40,16 @@
     return std::nullopt;
 }
 
+// Returns the body of a successful response. The sender and the content are named in errors.
+absl::StatusOr<json> read_body(const http_response& response, const std::string& sender,
+                               const std::string& content) {
+    if (response.status != ok_status) {
+        return make_error(error_kind::peer_unreachable,
+                          sender + " responded with status " + std::to_string(response.status));
+    }
+    return parse_json_object(response.body, content);
+}
+
 json make_queue_json(const queue_status& status) {
     return {{"queue", status.queue}, {"pending", status.pending}};
 }
@@ -110,11 +120,7 @@
 }
 
 absl::StatusOr<process_report> read_process_response(const http_response& response) {
-    if (response.status != ok_status) {
-        return make_error(error_kind::peer_unreachable,
-                          "the process responded with status " + std::to_string(response.status));
-    }
-    const auto body = parse_json_object(response.body, "the report of a process");
+    const auto body = read_body(response, "the process", "the report of a process");
     if (!body.ok()) {
         return body.status();
     }
@@ -141,11 +147,7 @@
     if (response.status == not_found_status) {
         return make_error(error_kind::not_found, "the owner does not have the job");
     }
-    if (response.status != ok_status) {
-        return make_error(error_kind::peer_unreachable,
-                          "the owner responded with status " + std::to_string(response.status));
-    }
-    const auto body = parse_json_object(response.body, "the owner's response");
+    const auto body = read_body(response, "the owner", "the owner's response");
     if (!body.ok()) {
         return body.status();
     }
@@ -158,11 +160,7 @@
 }
 
 absl::StatusOr<std::vector<queue_status>> read_status_response(const http_response& response) {
-    if (response.status != ok_status) {
-        return make_error(error_kind::peer_unreachable,
-                          "the owner responded with status " + std::to_string(response.status));
-    }
-    const auto body = parse_json_object(response.body, "the owner's queues");
+    const auto body = read_body(response, "the owner", "the owner's queues");
     if (!body.ok()) {
         return body.status();
     }
--- a/src/version/cell_locations.cpp
+++ b/src/version/cell_locations.cpp
@@ -1,5 +1,5 @@
-// Records where long-running tasks run before they start, so that the next owner knows which of them may run
-// on an upstream that does not respond; see cell_scheduler.hpp.
+// Records for the next owner where long-running tasks run, before they start, and on which upstreams this
+// owner has granted no lease; see cell_scheduler.hpp.
 
 #include <algorithm>
 #include <chrono>
@@ -63,7 +63,6 @@
 }
 
 void cell_scheduler::confirm_locations(const job_id& id, const run_locations& locations) {
-    const auto* job = find_job(id);
     for (const auto& location : locations.tasks) {
         const auto found = upstreams_.find(location.upstream);
         if (found == upstreams_.end()) {
@@ -71,7 +70,7 @@
         }
         const task_ref ref{id, location.occurrence, location.step, location.index};
         auto* run = found->second.find_run(ref, location.run);
-        if (job != nullptr && run != nullptr && run->awaits_record) {
+        if (run != nullptr && run->awaits_record) {
             run->awaits_record = false;
             expect_orders(found->second);
             has_recorded_starts_ = true;
@@ -167,16 +166,4 @@
     }
 }
 
-void cell_scheduler::release_unsent_runs(upstream_ledger& upstream, time_point now) {
-    std::vector<run_key> unsent;
-    for (const auto& [key, run] : upstream.runs) {
-        if (run.is_unsent()) {
-            unsent.push_back(key);
-        }
-    }
-    for (const auto& key : unsent) {
-        release_run(upstream, key, now);
-    }
-}
-
 }  // namespace jacinthvane
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -45,10 +45,13 @@
     std::vector<upstream_id> removed;
     for (auto& [id, upstream] : upstreams_) {
         if (upstream.is_unresponsive || upstream.entry.is_leaving || !upstream.is_listed) {
-            release_unsent_runs(upstream, now);
+            release_runs_if(
+                upstream, [](const run_record& run) { return run.is_unsent(); }, now);
         }
         if (upstream.is_unresponsive && now >= upstream.leases_expire_at) {
-            release_long_running_runs(upstream, now);
+            // The end of such a run need not be learned from the upstream, so no further poll has to fail.
+            release_runs_if(
+                upstream, [](const run_record& run) { return run.is_long_running; }, now);
         }
         const bool is_unreachable = upstream.is_unresponsive || !upstream.has_responded;
         // It has responded to this owner, so the ledger lists every run there, including those of earlier
@@ -73,15 +76,15 @@
     }
 }
 
-// The end of such a run need not be learned from the upstream, so no further poll has to fail.
-void cell_scheduler::release_long_running_runs(upstream_ledger& upstream, time_point now) {
-    std::vector<run_key> lapsed;
+void cell_scheduler::release_runs_if(upstream_ledger& upstream, bool (*is_released)(const run_record&),
+                                     time_point now) {
+    std::vector<run_key> released;
     for (const auto& [key, run] : upstream.runs) {
-        if (run.is_long_running) {
-            lapsed.push_back(key);
+        if (is_released(run)) {
+            released.push_back(key);
         }
     }
-    for (const auto& key : lapsed) {
+    for (const auto& key : released) {
         release_run(upstream, key, now);
     }
 }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -366,8 +366,6 @@
     void confirm_locations(const job_id& id, const run_locations& locations);
     // Whether a run of the task by an earlier owner may still exist, so that the task cannot start.
     bool is_held(const job_record& job, const step_ref& ref, const task_record& task, time_point now) const;
-    // Requeues the tasks whose start orders have never been sent to the upstream.
-    void release_unsent_runs(upstream_ledger& upstream, time_point now);
     // The longest time for which a run that is being stopped is in neither list of its upstream.
     std::chrono::milliseconds get_longest_stop() const;
 
@@ -471,7 +469,8 @@
     // Does the work that is due at an interval and not with each decision.
     void maintain_runs(clock_reading clock);
     void release_expired_runs(time_point now);
-    void release_long_running_runs(upstream_ledger& upstream, time_point now);
+    // Releases the runs of the upstream for which the function returns true.
+    void release_runs_if(upstream_ledger& upstream, bool (*is_released)(const run_record&), time_point now);
     // Sends the orders again whose time has come.
     void repeat_orders(time_point now, bool may_start, std::vector<upstream_order>& orders);
     // The same for one upstream. Returns whether it has further orders to send later.
