--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -414,8 +414,14 @@
 
 // Takes the key by value, since callers pass a reference into the entry that is removed.
 void cell_scheduler::release_run(upstream_ledger& upstream, run_key key, time_point now) {
+    const auto* run = upstream.find_run(key.first, key.second);
+    if (run == nullptr) {
+        return;
+    }
     LOG(INFO) << "event=run_released task=" << key.first.to_string() << "/" << key.second
               << " upstream=" << upstream.entry.id.get() << " silent=" << upstream.is_unresponsive
+              << " leaving=" << upstream.entry.is_leaving << " unsent=" << run->is_unsent()
+              << " awaits_record=" << run->awaits_record << " failed_orders=" << run->failed_orders
               << " boot=" << upstream.boot_unix_ms << " token=" << token_;
     upstream.remove_run(key.first, key.second);
     mark_changed(upstream);
