Hand on until when the leases of earlier owners last

Seen: long-running tasks whose upstreams were gone did not run for 12 s after the second of two takeovers, with room free.

Cause: notes named earlier owners as ended only once all their leases had ended, so a bound that an owner knew reached the next one when it was not needed any more; a process dates owners that it has not seen by its own first sight plus the proof window. Class: a fact that somebody knew is replaced by the worst case, counted from the reader's own start.

Change: the notes contain, for each of the last 16 owners, when the leases of the owners up to it have ended at the latest, as remaining time, and are written again each second while that matters. owner_history takes such bounds beside what it has seen; the earlier one counts. A remaining time only grows with the age of the notes, so a bound never ends a wait early. The format of the notes changes: owners of the two versions cannot read each other's notes, and all inherited tasks then wait, as after any owner without notes.

Ruled out: a slow owner (0 to 1 ms decisions, timers on time in the trace); blocks of upstreams (blocked=0).

Test: lasting_task/an_owner_that_saw_no_earlier_takeover_waits_no_longer_than_the_one_before failed on the code before (4 of 6 tasks ran). earlier_owner/the_notes_of_the_last_owner_shorten_the_wait_for_the_leases_of_the_one_before needs the new field and was not run there.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -18,6 +18,7 @@
 // There is only one cell.
 constexpr std::string_view cell_name = "0";
 constexpr std::size_t max_upstreams = 20000;
+constexpr std::size_t max_lease_bounds = 1024;
 constexpr std::size_t max_images = 256;
 constexpr std::size_t max_crashed_runs = 64;
 
@@ -130,11 +131,17 @@
     archive(silent.upstream, silent.granting_token);
 }
 
+template <class Archive>
+void serialize(Archive& archive, lease_bound& bound) {
+    archive(bound.token, bound.ends_by);
+}
+
 template <class Archive>
 void serialize(Archive& archive, takeover_notes& notes) {
     archive(notes.has_complete_locations);
     serialize_list(archive, notes.silent, max_upstreams);
     archive(notes.ended_before);
+    serialize_list(archive, notes.lease_bounds, max_lease_bounds);
 }
 
 template <class Archive>
@@ -172,8 +179,8 @@
 std::string encode_record(const run_locations& locations) {
     return encode_with_format(locations);
 }
-std::string encode_record(const takeover_notes& notes) {
-    return encode_with_format(notes);
+std::string encode_record(const takeover_notes& notes, time_point now) {
+    return encode_with_format(notes, now);
 }
 
 std::string encode_record(const tail_snapshot& snapshot) {
@@ -215,8 +222,8 @@
     return decode_with_format<run_locations>(bytes, "record of locations");
 }
 
-absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes) {
-    return decode_with_format<takeover_notes>(bytes, "takeover notes");
+absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes, time_point read_at) {
+    return decode_with_format<takeover_notes>(bytes, "takeover notes", read_at);
 }
 
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes) {
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -52,7 +52,8 @@
 std::string encode_record(const overload_notice& notice);
 std::string encode_record(const known_upstreams& upstreams);
 std::string encode_record(const run_locations& locations);
-std::string encode_record(const takeover_notes& notes);
+// Deadlines are written as the time that remains at the given reading of the clock.
+std::string encode_record(const takeover_notes& notes, time_point now);
 std::string encode_record(const tail_snapshot& snapshot);
 std::string encode_record(const live_peer& peer);
 
@@ -62,7 +63,8 @@
 absl::StatusOr<overload_notice> decode_overload_notice(std::string_view bytes);
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
 absl::StatusOr<run_locations> decode_run_locations(std::string_view bytes);
-absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes);
+// Deadlines count from when the record was read, so they are never earlier than those that were written.
+absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes, time_point read_at);
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes);
 absl::StatusOr<live_peer> decode_live_peer(std::string_view bytes);
 
--- a/src/connection/record_archive.hpp
+++ b/src/connection/record_archive.hpp
@@ -21,19 +21,21 @@
             rules.objective_ms);
 }
 
+// Deadlines in the record are written as the time that remains at `now`.
 template <class Record>
-std::string encode_with_format(const Record& record) {
-    wire_output_archive archive{time_point()};
+std::string encode_with_format(const Record& record, time_point now = time_point()) {
+    wire_output_archive archive{now};
     archive(record_format, record);
     return archive.take_bytes();
 }
 
 // Errors: bad_request, with a message that begins with the name in `what`.
 template <class Record>
-absl::StatusOr<Record> decode_with_format(std::string_view bytes, const char* what) {
+absl::StatusOr<Record> decode_with_format(std::string_view bytes, const char* what,
+                                          time_point now = time_point()) {
     Record record;
     try {
-        wire_input_archive archive(bytes, time_point());
+        wire_input_archive archive(bytes, now);
         std::uint32_t format = 0;
         archive(format);
         if (format != record_format) {
--- a/src/process/owner_history.hpp
+++ b/src/process/owner_history.hpp
@@ -37,6 +37,9 @@
     void record_end(std::uint64_t token, time_point ended_by);
     // Records that all owners before this token have ended so long ago that they need not be waited for.
     void record_ended_before(std::uint64_t token);
+    // Records that no owner up to and including this token has acted after the given time, as another process
+    // has found out.
+    void record_last_action(std::uint64_t token, time_point last_action);
 
     // Returns the time by which all owners before this token have acted for the last time. An owner with this
     // or a higher token must have been recorded.
@@ -45,13 +48,24 @@
     std::vector<seen_owner> get_possible_owners(std::uint64_t token, time_point now) const;
 
 private:
+    // What another process knows of all owners up to and including a token.
+    struct action_bound {
+        std::uint64_t token = 0;
+        time_point last_action;
+    };
+
     // Returns until when the owner at this position may act, by what is known of it.
     time_point get_last_action_at(std::size_t position) const;
+    // Returns the time by which all owners from the first token to the one before the end have acted for the
+    // last time, by what this process has seen.
+    time_point get_seen_last_action(std::uint64_t first, std::uint64_t end) const;
 
     std::chrono::milliseconds proof_window_;
     // In ascending order of tokens.
     std::vector<seen_owner> owners_;
     std::uint64_t ended_before_ = 1;
+    // In ascending order of tokens.
+    std::vector<action_bound> bounds_;
 };
 
 }  // namespace jacinthvane
--- a/src/process/takeover_notes.hpp
+++ b/src/process/takeover_notes.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "process/clock.hpp"
 #include "process/ids.hpp"
 
 namespace jacinthvane {
@@ -16,6 +17,15 @@
     bool operator==(const silent_upstream&) const = default;
 };
 
+// When all leases that earlier owners granted have ended.
+struct lease_bound {
+    // The last of these owners.
+    std::uint64_t token = 0;
+    time_point ends_by;
+
+    bool operator==(const lease_bound&) const = default;
+};
+
 // What an owner writes for the next one together with the list of known upstreams. A list that was written
 // without it belongs to an owner of an earlier version, which does not keep what it says.
 struct takeover_notes {
@@ -25,6 +35,9 @@
     std::vector<silent_upstream> silent;
     // All owners before this token act no more, and their leases have ended.
     std::uint64_t ended_before = 0;
+    // What is known of the owners from ended_before on, in ascending order of tokens. The record contains the
+    // remaining times, so it is written again while they are needed.
+    std::vector<lease_bound> lease_bounds;
 
     bool operator==(const takeover_notes&) const = default;
 };
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -93,7 +93,7 @@
     awaitable<bool> load_jobs();
     awaitable<bool> load_locations();
     // Returns false if the item cannot be read.
-    bool load_location_item(const store_item& item);
+    bool load_location_item(const store_item& item, time_point read_at);
     void apply_loaded_notes();
     // Returns the highest token of an earlier owner that may have granted leases on the upstream.
     std::uint64_t get_granting_token(const upstream_id& id) const;
@@ -130,6 +130,8 @@
     void update_notes();
     // Called with the mutex held.
     takeover_notes make_notes() const;
+    // Whether the notes in the store have to be written again. Called with the mutex held.
+    bool are_notes_outdated() const;
     bool has_silent_upstreams() const;
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
@@ -207,6 +209,8 @@
     // Whether the store has the locations of all long-running jobs, and the notes that it has.
     bool has_complete_locations_ = false;
     takeover_notes written_notes_;
+    // When the notes are written again for the remaining times that they contain.
+    time_point next_notes_;
     tail_snapshot written_tails_;
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
--- a/src/request/cell_takeover.cpp
+++ b/src/request/cell_takeover.cpp
@@ -19,21 +19,22 @@
     if (!listing.ok()) {
         co_return false;
     }
+    const auto read_at = std::chrono::steady_clock::now();
     loaded_locations_.clear();
     loaded_notes_ = takeover_notes();
     loaded_notes_revision_ = 0;
     bool is_readable = true;
     for (const auto& item : listing->items) {
-        is_readable = load_location_item(item) && is_readable;
+        is_readable = load_location_item(item, read_at) && is_readable;
     }
     // One job whose runs are unknown makes all of them unknown, since its record may name any upstream.
     loaded_notes_.has_complete_locations = loaded_notes_.has_complete_locations && is_readable;
     co_return true;
 }
 
-bool cell_owner::load_location_item(const store_item& item) {
+bool cell_owner::load_location_item(const store_item& item, time_point read_at) {
     if (item.key == make_notes_key()) {
-        auto notes = decode_takeover_notes(item.value);
+        auto notes = decode_takeover_notes(item.value, read_at);
         if (!notes.ok()) {
             LOG(ERROR) << "event=takeover_notes_unreadable error=\"" << notes.status().message() << "\"";
             return false;
@@ -63,9 +64,11 @@
     has_complete_locations_ = upstreams_revision_ == 0 || loaded_notes_.has_complete_locations;
     LOG(INFO) << "event=takeover_notes_loaded token=" << claim_.row.token
               << " located_jobs=" << loaded_locations_.size() << " complete=" << has_complete_locations_
-              << " silent=" << loaded_notes_.silent.size() << " ended_before=" << loaded_notes_.ended_before;
+              << " silent=" << loaded_notes_.silent.size() << " ended_before=" << loaded_notes_.ended_before
+              << " lease_bounds=" << loaded_notes_.lease_bounds.size();
     std::lock_guard lock(mutex_);
     scheduler_.record_ended_before(loaded_notes_.ended_before);
+    scheduler_.record_lease_bounds(loaded_notes_.lease_bounds);
     scheduler_.set_inherited_locations(std::exchange(loaded_locations_, {}), has_complete_locations_);
 }
 
@@ -78,7 +81,14 @@
 
 takeover_notes cell_owner::make_notes() const {
     const auto now = std::chrono::steady_clock::now();
-    return {has_complete_locations_, scheduler_.get_silent_upstreams(), scheduler_.get_ended_before(now)};
+    return {has_complete_locations_, scheduler_.get_silent_upstreams(), scheduler_.get_ended_before(now),
+            scheduler_.get_lease_bounds(now)};
+}
+
+bool cell_owner::are_notes_outdated() const {
+    const bool has_remaining_times = !written_notes_.silent.empty() && !written_notes_.lease_bounds.empty();
+    const bool is_due = has_remaining_times && std::chrono::steady_clock::now() >= next_notes_;
+    return is_due || make_notes() != written_notes_;
 }
 
 bool cell_owner::has_silent_upstreams() const {
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -21,6 +21,10 @@
 
 using std::chrono::milliseconds;
 
+// The next owner takes remaining times in the notes as of its own read, so they are at most this much too
+// long for it.
+constexpr milliseconds notes_interval{1000};
+
 }  // namespace
 
 awaitable<bool> cell_owner::load_upstreams() {
@@ -87,11 +91,12 @@
         known.entries = scheduler_.get_upstreams();
         notes = make_notes();
     }
+    const auto made_at = std::chrono::steady_clock::now();
     store_transaction transaction;
     transaction.conditions = {{make_cell_key(), claim_.row_revision},
                               {make_upstreams_key(), upstreams_revision_}};
     transaction.writes = {{make_upstreams_key(), encode_record(known), 0},
-                          {make_notes_key(), encode_record(notes), 0}};
+                          {make_notes_key(), encode_record(notes, made_at), 0}};
     const auto sent_at = get_suspend_aware_now();
     const auto result = co_await ports_.store.transact(transaction, get_store_deadline());
     if (!result.ok()) {
@@ -123,6 +128,7 @@
         scheduler_.record_upstreams(known.entries);
         scheduler_.record_silent_upstreams(notes.silent);
         written_notes_ = std::move(notes);
+        next_notes_ = made_at + notes_interval;
         recorded_upstreams_ = known.entries.size();
     }
     for (const auto& id : added) {
@@ -134,7 +140,7 @@
 bool cell_owner::is_recorded_list_outdated() const {
     std::lock_guard lock(mutex_);
     return scheduler_.has_unrecorded_upstreams() || scheduler_.has_answered_silent_upstreams() ||
-           scheduler_.get_upstreams().size() != recorded_upstreams_ || make_notes() != written_notes_;
+           scheduler_.get_upstreams().size() != recorded_upstreams_ || are_notes_outdated();
 }
 
 awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -14,6 +14,8 @@
 
 // Covers the rounding to whole milliseconds on the owner's and the upstream's side.
 constexpr std::chrono::milliseconds lease_rounding_margin{100};
+// Owners before this one whose leases are told apart for the next one.
+constexpr std::uint64_t max_bounded_owners = 16;
 
 const char* get_source_name(incarnation_source source) {
     switch (source) {
@@ -41,7 +43,7 @@
 
 void cell_scheduler::set_owner_history(const owner_history& history) {
     history_ = history;
-    history_.record_ended_before(ended_before_);
+    apply_takeover_notes();
     for (auto& [id, upstream] : upstreams_) {
         // Without a run, this owner has granted no lease there.
         if (upstream.may_have_inherited_runs && upstream.runs.empty()) {
@@ -53,11 +55,43 @@
 
 void cell_scheduler::record_ended_before(std::uint64_t token) {
     ended_before_ = std::max(ended_before_, token);
+    apply_takeover_notes();
+}
+
+void cell_scheduler::record_lease_bounds(std::vector<lease_bound> bounds) {
+    lease_bounds_ = std::move(bounds);
+    apply_takeover_notes();
+}
+
+void cell_scheduler::apply_takeover_notes() {
     history_.record_ended_before(ended_before_);
+    for (const auto& bound : lease_bounds_) {
+        history_.record_last_action(bound.token, bound.ends_by - get_longest_lease());
+    }
 }
 
 std::uint64_t cell_scheduler::get_ended_before(time_point now) const {
-    return now >= get_inherited_leases_end() ? token_ : ended_before_;
+    for (auto token = token_; token > get_first_bounded_token(); --token) {
+        if (now >= get_leases_end(token - 1)) {
+            return token;
+        }
+    }
+    return ended_before_;
+}
+
+std::uint64_t cell_scheduler::get_first_bounded_token() const {
+    return std::max(ended_before_, token_ - std::min(token_, max_bounded_owners));
+}
+
+std::vector<lease_bound> cell_scheduler::get_lease_bounds(time_point now) const {
+    // The record is in milliseconds, and rounds down.
+    constexpr std::chrono::milliseconds rounding_margin{1};
+    std::vector<lease_bound> bounds;
+    const auto first = std::max(get_ended_before(now), get_first_bounded_token());
+    for (auto token = first; token < token_; ++token) {
+        bounds.push_back({token, get_leases_end(token) + rounding_margin});
+    }
+    return bounds;
 }
 
 upstream_ledger& cell_scheduler::add_upstream(const upstream_entry& entry) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -214,6 +214,10 @@
     void record_ended_before(std::uint64_t token);
     // Returns the highest token for which that is known.
     std::uint64_t get_ended_before(time_point now) const;
+    // Records what earlier owners knew of the leases that owners before them had granted.
+    void record_lease_bounds(std::vector<lease_bound> bounds);
+    // Returns when the leases of earlier owners end that have not ended yet, for the next owner.
+    std::vector<lease_bound> get_lease_bounds(time_point now) const;
     // Excludes the upstreams that have not responded from leases and starts, and ends that for those that
     // have. The next owner need not wait for this one's leases there.
     void declare_silent_upstreams(time_point now);
@@ -400,6 +404,10 @@
     std::chrono::milliseconds get_longest_lease() const;
     // When every lease has ended that an owner up to this token granted, or any earlier owner.
     time_point get_leases_end(std::uint64_t granting_token) const;
+    // Returns the first owner whose leases are told apart for the next one.
+    std::uint64_t get_first_bounded_token() const;
+    // Adds what earlier owners have handed on to the history of owners.
+    void apply_takeover_notes();
     time_point get_inherited_leases_end() const { return get_leases_end(token_ - 1); }
     std::int64_t grant_lease(upstream_ledger& upstream, time_point now);
 
@@ -537,6 +545,7 @@
     const time_point owner_since_;
     owner_history history_;
     std::uint64_t ended_before_ = 1;
+    std::vector<lease_bound> lease_bounds_;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
     std::shared_ptr<const queue_index> queues_;
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -109,6 +109,7 @@
     for (const auto& entry : declared) {
         silent.emplace(entry.upstream, entry.granting_token);
     }
+    lease_bounds = scheduler->get_lease_bounds(now);
     const auto decisions = scheduler->decide(read_clock(), may_start);
     for (const auto& order : decisions.orders) {
         const bool is_lost = loses_order && loses_order(order);
@@ -134,11 +135,17 @@
     scheduler->confirm_commit(batch);
 }
 
+void cell_fixture::restart_next_owner() {
+    history = owner_history(cell_limits().proof_window);
+    history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
+}
+
 void cell_fixture::take_over(bool has_upstream_list) {
     ++token;
     scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
     scheduler->set_owner_history(history);
+    scheduler->record_lease_bounds(lease_bounds);
     for (const auto& [id, progress] : committed) {
         if (is_final(progress.state)) {
             scheduler->add_ended_job(id, progress);
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -30,6 +30,8 @@
     // Replaces the owner by one with a higher fencing token and the progress committed so far. It has the
     // stored list of upstreams unless has_upstream_list is false.
     void take_over(bool has_upstream_list = true);
+    // Has the next owner be a process that starts now: of all owners it sees only the present one.
+    void restart_next_owner();
 
     clock_reading read_clock() const;
     job_phase get_state(const std::string& id) const;
@@ -50,6 +52,8 @@
     std::map<job_id, run_locations> locations;
     // The silent upstreams in the store, with the last owner that may have granted leases there.
     std::map<upstream_id, std::uint64_t> silent;
+    // What the store has on the leases of earlier owners.
+    std::vector<lease_bound> lease_bounds;
     owner_history history{cell_limits().proof_window};
     // Whether the store has the locations of all long-running jobs, as with an owner before that records
     // them.
--- a/tests/earlier_owner_test.cpp
+++ b/tests/earlier_owner_test.cpp
@@ -103,8 +103,9 @@
     return job;
 }
 
-// Writes what an owner with token 1 leaves that has recorded these runs of a long-running task.
-void write_earlier_owner(memory_cell_store& store, const cell_row& row, const run_locations& locations) {
+// Writes what an owner leaves that has recorded these runs of a long-running task.
+void write_earlier_owner(memory_cell_store& store, const cell_row& row, const run_locations& locations,
+                         const takeover_notes& notes = {true, {}, 1, {}}) {
     const auto job = make_long_running_job();
     job_progress progress;
     progress.queue = queue;
@@ -115,7 +116,7 @@
                           {make_progress_key(lasting), encode_record(progress), 0},
                           {make_location_key(lasting), encode_record(locations), 0},
                           {make_upstreams_key(), encode_record(known_upstreams{make_upstreams()}), 0},
-                          {make_notes_key(), encode_record(takeover_notes{true, {}, 1}), 0}};
+                          {make_notes_key(), encode_record(notes, std::chrono::steady_clock::now()), 0}};
     store.apply(transaction);
 }
 
@@ -203,6 +204,29 @@
     });
 }
 
+// Guards against an owner that waits for the leases of one before the last, although the last one had found
+// out when they end: its own process has seen neither of them.
+BOOST_AUTO_TEST_CASE(the_notes_of_the_last_owner_shorten_the_wait_for_the_leases_of_the_one_before) {
+    entry_parts next("c/1");
+    const upstream_id silent("u1");
+    const run_locations locations{{{0, 0, 0, silent, 1}}};
+    const auto leases_end = after(milliseconds(1500));
+    const takeover_notes notes{true, {{silent, 1}}, 1, {{1, leases_end}}};
+    write_earlier_owner(*next.store, {2, "b/1", "127.0.0.1:1"}, locations, notes);
+    next.upstreams->set_partitioned(silent, true);
+    next.member->start();
+    run_coroutine(next.context, [&]() -> awaitable<void> {
+        co_await wait_for_owner(*next.member);
+        co_await wait_until(leases_end - milliseconds(300));
+        BOOST_TEST(next.upstreams->get_start_count() == 0U);
+        const auto deadline = leases_end + seconds(3);
+        while (next.upstreams->get_start_count() == 0 && std::chrono::steady_clock::now() < deadline) {
+            co_await wait_until(after(milliseconds(20)));
+        }
+        BOOST_TEST(next.upstreams->get_start_count() == 1U);
+    });
+}
+
 // Guards against a task that runs twice after an upgrade: an owner of an earlier version, which records no
 // locations, has started it since the last record.
 BOOST_AUTO_TEST_CASE(records_before_an_owner_that_keeps_none_are_not_used) {
--- a/tests/lasting_task_test.cpp
+++ b/tests/lasting_task_test.cpp
@@ -158,6 +158,26 @@
     check_no_violations(cell);
 }
 
+// Guards against tasks that wait for the leases of an owner that has ended, since the process that takes the
+// cell started after the takeover in which that was known: 23 upstreams were waited for until 16.5 s after
+// the end of their last owner.
+BOOST_AUTO_TEST_CASE(an_owner_that_saw_no_earlier_takeover_waits_no_longer_than_the_one_before) {
+    cell_fixture cell(4);
+    cell.add_job("lasting", make_long_running_job());
+    cell.run_for(seconds(2));
+    cell.upstreams.set_partitioned(find_busy_upstream(cell), true);
+    cell.history.record_end(1, cell.clock->get_now());
+    cell.take_over();
+    cell.run_for(milliseconds(1500));
+    cell.restart_next_owner();
+    cell.run_for(milliseconds(1500));
+    cell.take_over();
+    // The longest lease since the end of the first owner has passed then.
+    cell.run_for(seconds(4));
+    BOOST_TEST(cell.upstreams.count_running() == task_count);
+    check_no_violations(cell);
+}
+
 // Guards against a lease that the next owner does not wait for: an upstream that the store lists as silent
 // gets none until it is listed no more.
 BOOST_AUTO_TEST_CASE(an_upstream_that_is_listed_as_silent_gets_no_lease) {
--- a/tests/owner_history_test.cpp
+++ b/tests/owner_history_test.cpp
@@ -91,4 +91,20 @@
     BOOST_TEST((history.get_last_action(6) == time_point()));
 }
 
+// Guards against a process that started between two takeovers and dates the owners before its start by it.
+BOOST_AUTO_TEST_CASE(what_other_processes_know_bounds_owners_that_were_not_seen) {
+    jacinthvane::owner_history history(proof_window);
+    history.record_owner(5, "e", "e:1", at(seconds(10)));
+    history.record_owner(6, "f", "f:1", at(seconds(11)));
+    history.record_last_action(4, at(seconds(7)));
+    BOOST_TEST((history.get_last_action(5) == at(seconds(7))));
+    // Only the owners up to the token are bounded.
+    BOOST_TEST((history.get_last_action(6) == at(seconds(17))));
+    history.record_end(5, at(seconds(9)));
+    BOOST_TEST((history.get_last_action(6) == at(seconds(9))));
+    // A later bound does not replace an earlier one.
+    history.record_last_action(4, at(seconds(8)));
+    BOOST_TEST((history.get_last_action(5) == at(seconds(7))));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -65,7 +65,7 @@
     (void)decode_cell_row(bytes);
     (void)decode_known_upstreams(bytes);
     (void)decode_run_locations(bytes);
-    (void)decode_takeover_notes(bytes);
+    (void)decode_takeover_notes(bytes, time_point());
 }
 
 }  // namespace
