Send a start order only if it would still be decided so

Seen: tasks started on upstreams whose word that they leave had been acknowledged seconds before (DRAIN).

Cause: the grounds of a start were checked when it was decided, not when it was sent.

Change: is_start_justified checks the upstream (listed, recorded, not leaving, blocked or silent, service, label, room), the job, the task and the ticket in the decision that sends a start order, and once more before it is written. A run that was never sent is released; any other is stopped. A start order is refused by its upstream 2 s after it was decided. Withdrawn orders have a result of their own in the log.

--- a/src/process/job_record.cpp
+++ b/src/process/job_record.cpp
@@ -6,6 +6,22 @@
 
 namespace {
 
+// Job is job_record, const or not.
+template <typename Job>
+auto find_step_of(Job& job, const step_ref& step) -> decltype(job.find_step(step)) {
+    const auto found = job.occurrences.find(step.occurrence);
+    if (found == job.occurrences.end() || step.step >= found->second.steps.size()) {
+        return nullptr;
+    }
+    return &found->second.steps[step.step];
+}
+
+template <typename Job>
+auto find_task_of(Job& job, const task_ref& task) -> decltype(job.find_task(task)) {
+    auto* step = job.find_step(task.get_step());
+    return step == nullptr || task.index >= step->tasks.size() ? nullptr : &step->tasks[task.index];
+}
+
 step_progress make_step_progress(const step_state& step, std::uint32_t occurrence, std::uint32_t number) {
     step_progress progress;
     progress.occurrence = occurrence;
@@ -54,16 +70,19 @@
 }
 
 step_state* job_record::find_step(const step_ref& step) {
-    const auto found = occurrences.find(step.occurrence);
-    if (found == occurrences.end() || step.step >= found->second.steps.size()) {
-        return nullptr;
-    }
-    return &found->second.steps[step.step];
+    return find_step_of(*this, step);
+}
+
+const step_state* job_record::find_step(const step_ref& step) const {
+    return find_step_of(*this, step);
 }
 
 task_record* job_record::find_task(const task_ref& task) {
-    auto* step = find_step(task.get_step());
-    return step == nullptr || task.index >= step->tasks.size() ? nullptr : &step->tasks[task.index];
+    return find_task_of(*this, task);
+}
+
+const task_record* job_record::find_task(const task_ref& task) const {
+    return find_task_of(*this, task);
 }
 
 job_progress job_record::make_progress(std::int64_t now_unix_ms) const {
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -95,7 +95,9 @@
     // Earliest objective of the occurrences that are not done.
     time_point get_objective() const;
     step_state* find_step(const step_ref& step);
+    const step_state* find_step(const step_ref& step) const;
     task_record* find_task(const task_ref& task);
+    const task_record* find_task(const task_ref& task) const;
     // Returns the durable part of this state.
     job_progress make_progress(std::int64_t now_unix_ms) const;
 };
--- a/src/process/upstream_order.cpp
+++ b/src/process/upstream_order.cpp
@@ -36,13 +36,19 @@
             return "unknown";
         case order_result::delayed:
             return "delayed";
+        case order_result::withdrawn:
+            return "withdrawn";
     }
     return "invalid";
 }
 
 bool is_answer(order_result result) {
-    return result != order_result::not_sent && result != order_result::unknown &&
-           result != order_result::delayed;
+    return may_have_been_sent(result) && result != order_result::unknown;
+}
+
+bool may_have_been_sent(order_result result) {
+    return result != order_result::not_sent && result != order_result::delayed &&
+           result != order_result::withdrawn;
 }
 
 std::size_t estimate_bytes(const start_order& order) {
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -74,12 +74,16 @@
     // This process was too slow to send the order, or to read the response to a poll, so the outcome says
     // nothing about the upstream.
     delayed,
+    // The order was not sent, since it would not be decided any more.
+    withdrawn,
 };
 
 std::string_view get_name(order_result result);
 
 // Whether the upstream responded, whatever its response.
 bool is_answer(order_result result);
+// Whether the upstream may have received the order.
+bool may_have_been_sent(order_result result);
 
 struct order_response {
     order_result result = order_result::unknown;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -400,21 +400,28 @@
     }
 }
 
-bool cell_owner::is_start_pending(const start_order& order) const {
+std::optional<time_point> cell_owner::get_send_limit(const upstream_order& order) const {
     std::lock_guard lock(mutex_);
-    return scheduler_.is_start_pending(order) && may_act();
+    const auto now = std::chrono::steady_clock::now();
+    const auto* start = std::get_if<start_order>(&order);
+    const bool is_wanted = start == nullptr || scheduler_.is_start_pending(*start, now);
+    if (!is_wanted || !may_act()) {
+        return std::nullopt;
+    }
+    return now + (proven_at_ + limits_.proof_window - get_suspend_aware_now());
 }
 
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
     const auto started_at = std::chrono::steady_clock::now();
-    const auto deadline = started_at + get_call_timeout(min_order_timeout);
+    const auto response_deadline = started_at + get_call_timeout(min_order_timeout);
     const auto* start = std::get_if<start_order>(&order);
-    order_response response{order_result::delayed, 0};
-    if (start == nullptr || is_start_pending(*start)) {
+    order_response response{order_result::withdrawn, 0};
+    if (const auto send_limit = get_send_limit(order)) {
+        const auto deadline = std::min(response_deadline, *send_limit);
         response = co_await ports_.upstreams.send(address, order, claim_.row.token, deadline);
         if (is_answer(response.result)) {
             record_response(started_at);
-        } else if (!is_silence_conclusive(started_at, deadline)) {
+        } else if (deadline < response_deadline || !is_silence_conclusive(started_at, deadline)) {
             response.is_conclusive = false;
             // Nothing was sent, and the upstream need not be avoided.
             response.result =
@@ -434,9 +441,7 @@
             link_.end_start(estimate_bytes(*start));
             accepted_starts_ += response.result == order_result::accepted ? 1 : 0;
         }
-        load_.end_order(
-            std::chrono::steady_clock::now() - started_at,
-            response.result != order_result::not_sent && response.result != order_result::delayed);
+        load_.end_order(std::chrono::steady_clock::now() - started_at, may_have_been_sent(response.result));
         scheduler_.apply_order_response(order, response, read_clock());
     }
     if (response.result == order_result::refused_token) {
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -111,7 +111,9 @@
     // Returns when to poll the upstream again after a poll that was sent at the given time.
     time_point get_next_poll(const upstream_id& id, time_point last_poll) const;
     awaitable<void> dispatch();
-    bool is_start_pending(const start_order& order) const;
+    // Returns until when the order may be sent, by the proof of ownership. Returns nothing if it would not be
+    // decided any more, or if ownership is not proven.
+    std::optional<time_point> get_send_limit(const upstream_order& order) const;
     // Records how long a server took to respond, in addition to the time that it was asked to wait.
     void record_response(time_point expected_at);
     // Whether the missing response of a call says something about its server. The call was given up at its
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -252,11 +252,12 @@
     found->second.is_unresponsive = true;
 }
 
-std::int64_t cell_scheduler::grant_lease(upstream_ledger& upstream, time_point now) {
+std::int64_t cell_scheduler::grant_lease(upstream_ledger& upstream, std::chrono::milliseconds length,
+                                         time_point now) {
     if (upstream.clock_ms == 0) {
         return 0;
     }
-    const auto until = upstream.estimate_clock_ms(now) + limits_.max_lease.count();
+    const auto until = upstream.estimate_clock_ms(now) + length.count();
     const std::chrono::milliseconds left(until - upstream.clock_ms);
     const auto expires_at =
         upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + lease_rounding_margin;
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -59,14 +59,40 @@
     }
 }
 
-bool cell_scheduler::is_start_pending(const start_order& order) const {
+bool cell_scheduler::is_start_pending(const start_order& order, time_point now) const {
     const auto found = upstreams_.find(order.upstream);
     if (found == upstreams_.end()) {
         return false;
     }
     const auto run = found->second.runs.find(run_key_view{order.task, order.run});
     return run != found->second.runs.end() && run->second.phase == run_phase::starting &&
-           order.boot_unix_ms == found->second.boot_unix_ms;
+           order.boot_unix_ms == found->second.boot_unix_ms &&
+           is_start_justified(found->second, order.task, order.run, now);
+}
+
+bool cell_scheduler::is_start_justified(const upstream_ledger& upstream, const task_ref& ref,
+                                        std::uint64_t run, time_point now) const {
+    const auto job = jobs_.find(ref.job);
+    const bool has_room = !upstream.get_room().is_negative() && upstream.unknown_size_runs == 0;
+    if (!is_offered(upstream, now) || !has_room || job == jobs_.end()) {
+        return false;
+    }
+    const auto* task = job->second.find_task(ref);
+    if (task == nullptr || task->phase != task_phase::active || task->last_run != run) {
+        return false;
+    }
+    const auto& spec = job->second.job->spec.steps[ref.step];
+    if (upstream.entry.service != get_service(job->second) ||
+        !upstream.entry.has_label(spec.required_label)) {
+        return false;
+    }
+    const auto* queue = find_queue(job->second);
+    if (queue == nullptr || !queue->advice) {
+        return true;
+    }
+    const auto tickets = tickets_.find(ref.get_step());
+    return tickets != tickets_.end() && now + ticket_margin < tickets->second.valid_until &&
+           tickets->second.tickets.contains(upstream.entry.id);
 }
 
 void cell_scheduler::begin_stop(upstream_ledger& upstream, run_record& run, time_point now) {
@@ -152,7 +178,9 @@
     }
     auto* job = find_job(order.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(order.task);
-    if (task != nullptr && response.result != order_result::delayed) {
+    const bool is_own_doing =
+        response.result == order_result::delayed || response.result == order_result::withdrawn;
+    if (task != nullptr && !is_own_doing) {
         record_avoided_upstream(*task, order.upstream);
     }
     release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t run_number_bits = 20;
 // How long a search that found no room stays valid for upstreams that do not change.
 constexpr std::chrono::milliseconds max_search_age{2000};
+// A start order that reaches its upstream later is refused: the upstream may be leaving by then. Polls renew
+// the lease for longer.
+constexpr std::chrono::milliseconds max_start_delay{2000};
 // Upstreams named in one request to the advice service.
 constexpr std::size_t max_advised_upstreams = 20;
 
@@ -228,7 +231,7 @@
     order.payload = job.job->spec.payload;
     order.checkpoint = found.checkpoint;
     order.ticket = ticket;
-    order.lease_until_clock_ms = grant_lease(upstream, now);
+    order.lease_until_clock_ms = grant_lease(upstream, std::min(max_start_delay, limits_.max_lease), now);
     order.boot_unix_ms = upstream.boot_unix_ms;
     return order;
 }
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -55,7 +55,7 @@
     poll.acknowledged_end = is_responsive && is_same_connection ? upstream.durable_end : 0;
     if (is_responsive) {
         const bool may_grant = may_renew && !upstream.is_declared_silent;
-        poll.lease_until_clock_ms = may_grant ? grant_lease(upstream, now) : 0;
+        poll.lease_until_clock_ms = may_grant ? grant_lease(upstream, limits_.max_lease, now) : 0;
         const bool is_stopping =
             std::any_of(upstream.runs.begin(), upstream.runs.end(),
                         [](const auto& entry) { return entry.second.phase == run_phase::stopping; });
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -104,44 +104,52 @@
 bool cell_scheduler::repeat_orders_of(upstream_ledger& upstream, time_point now, bool may_start,
                                       std::vector<upstream_order>& orders) {
     bool has_pending_orders = false;
+    std::vector<run_key> withdrawn;
     for (auto& [key, run] : upstream.runs) {
-        if (run.awaits_record && run.phase == run_phase::starting) {
+        if (run.is_order_sent || run.phase == run_phase::running) {
             continue;
         }
-        if (run.is_order_sent || run.phase == run_phase::running) {
+        if (run.phase == run_phase::starting && !is_start_justified(upstream, key.first, key.second, now)) {
+            if (run.is_unsent()) {
+                withdrawn.push_back(key);
+                continue;
+            }
+            begin_stop(upstream, run, now);
+        }
+        if (run.awaits_record && run.phase == run_phase::starting) {
             continue;
         }
         if (now < run.next_order) {
             has_pending_orders = true;
-            continue;
-        }
-        if (run.phase == run_phase::stopping) {
+        } else if (run.phase == run_phase::stopping) {
             run.is_order_sent = true;
             orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second, upstream.boot_unix_ms});
-        } else if (run.phase == run_phase::starting && may_start && !upstream.is_unresponsive &&
-                   starts_left_ > 0) {
-            auto* job = find_job(key.first.job);
-            const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
-            if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
-                begin_stop(upstream, run, now);
-                has_pending_orders = true;
-                continue;
-            }
-            run.started_at = run.is_unsent() ? now : run.started_at;
-            run.is_order_sent = true;
-            run.is_start_in_flight = true;
-            --starts_left_;
-            const auto tickets = tickets_.find(key.first.get_step());
-            std::string ticket;
-            if (tickets != tickets_.end() && tickets->second.tickets.contains(upstream.entry.id)) {
-                ticket = tickets->second.tickets.at(upstream.entry.id);
-            }
-            orders.emplace_back(make_start(upstream, *job, key.first, key.second, ticket, now));
+        } else if (may_start && !upstream.is_unresponsive && starts_left_ > 0) {
+            repeat_start(upstream, key, run, now, orders);
         } else {
             has_pending_orders = true;
         }
     }
-    return has_pending_orders;
+    for (const auto& key : withdrawn) {
+        release_run(upstream, key, now);
+    }
+    // Other members of a gang may have to be stopped now.
+    return has_pending_orders || !withdrawn.empty();
+}
+
+void cell_scheduler::repeat_start(upstream_ledger& upstream, const run_key& key, run_record& run,
+                                  time_point now, std::vector<upstream_order>& orders) {
+    run.started_at = run.is_unsent() ? now : run.started_at;
+    run.is_order_sent = true;
+    run.is_start_in_flight = true;
+    --starts_left_;
+    const auto tickets = tickets_.find(key.first.get_step());
+    std::string ticket;
+    if (tickets != tickets_.end() && tickets->second.tickets.contains(upstream.entry.id)) {
+        ticket = tickets->second.tickets.at(upstream.entry.id);
+    }
+    const auto& job = jobs_.at(key.first.job);
+    orders.emplace_back(make_start(upstream, job, key.first, key.second, ticket, now));
 }
 
 void cell_scheduler::stop_stalled_runs(upstream_ledger& upstream, time_point now) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -180,8 +180,8 @@
     std::uint64_t get_evaluated_placements() const { return evaluated_placements_; }
 
     // Whether a start order that was decided earlier should still be sent: its job may have been cancelled,
-    // or an earlier run of its task may have turned out to be done.
-    bool is_start_pending(const start_order& order) const;
+    // an earlier run of its task may have turned out to be done, or its upstream may be leaving.
+    bool is_start_pending(const start_order& order, time_point now) const;
 
     bool has_commit_work() const {
         return !dirty_jobs_.empty() || !commit_batch_.empty() || has_uncommitted_ends_;
@@ -409,7 +409,8 @@
     // Adds what earlier owners have handed on to the history of owners.
     void apply_takeover_notes();
     time_point get_inherited_leases_end() const { return get_leases_end(token_ - 1); }
-    std::int64_t grant_lease(upstream_ledger& upstream, time_point now);
+    // Returns the end of a lease of this length, on the clock of the upstream.
+    std::int64_t grant_lease(upstream_ledger& upstream, std::chrono::milliseconds length, time_point now);
 
     // Reports (cell_reports.cpp)
     void apply_end(upstream_ledger& upstream, const ended_row& row, time_point now);
@@ -434,6 +435,10 @@
     // Responses to orders (cell_orders.cpp)
     void apply_start_response(const start_order& order, const order_response& response, time_point now);
     void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
+    // Whether the start of the run would still be decided as it was. Checked each time a start order is sent:
+    // one that is sent again, or that has waited for its record, may be seconds old.
+    bool is_start_justified(const upstream_ledger& upstream, const task_ref& task, std::uint64_t run,
+                            time_point now) const;
     void begin_stop(upstream_ledger& upstream, run_record& run, time_point now);
     // The next decision looks for orders of the upstream that have to be sent again.
     void expect_orders(upstream_ledger& upstream);
@@ -484,6 +489,8 @@
     // The same for one upstream. Returns whether it has further orders to send later.
     bool repeat_orders_of(upstream_ledger& upstream, time_point now, bool may_start,
                           std::vector<upstream_order>& orders);
+    void repeat_start(upstream_ledger& upstream, const run_key& key, run_record& run, time_point now,
+                      std::vector<upstream_order>& orders);
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
@@ -502,6 +509,8 @@
     void mark_changed(const upstream_ledger& upstream);
     // Applies the marked changes to the index.
     void update_index(time_point now);
+    // Whether new runs are wanted on the upstream, if it responds.
+    static bool is_offered(const upstream_ledger& upstream, time_point now);
     static bool is_usable(const upstream_ledger& upstream, time_point now);
     step_terms make_terms(const job_record& job, const step_ref& step, time_point now);
     // Continues the search for the step, or begins one.
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -42,10 +42,13 @@
     best_effort_views_[upstream.slot].decision = 0;
 }
 
+bool cell_scheduler::is_offered(const upstream_ledger& upstream, time_point now) {
+    return upstream.is_listed && upstream.is_recorded && !upstream.is_declared_silent &&
+           !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
+}
+
 bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) {
-    return upstream.is_listed && upstream.is_recorded && upstream.has_responded &&
-           !upstream.is_unresponsive && !upstream.is_declared_silent && !upstream.entry.is_leaving &&
-           !upstream.health.is_blocked(now);
+    return is_offered(upstream, now) && upstream.has_responded && !upstream.is_unresponsive;
 }
 
 void cell_scheduler::update_index(time_point now) {
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -282,9 +282,9 @@
     const auto decisions = cell.scheduler->decide(cell.read_clock(), true);
     BOOST_REQUIRE(decisions.orders.size() == 1U);
     const auto& start = std::get<start_order>(decisions.orders.front());
-    BOOST_TEST(cell.scheduler->is_start_pending(start));
+    BOOST_TEST(cell.scheduler->is_start_pending(start, cell.clock->get_now()));
     cell.scheduler->cancel_job(job_id("job"), cell.read_clock());
-    BOOST_TEST(!cell.scheduler->is_start_pending(start));
+    BOOST_TEST(!cell.scheduler->is_start_pending(start, cell.clock->get_now()));
 }
 
 // Guards against two completed runs of one task: the first run of a task turns out to be done while the
