Give an upstream that takes no starts one at a time, and none after several failures

Class: an outcome whose cause lies elsewhere is charged to the wrong side, and so has no effect on the next choice.

Change: start_health of each upstream. Until it has accepted a start in its present incarnation, and after a failed one, it gets one start at a time; after two failures in a row none for 0.5 s, doubled up to 4 s. Tasks that have failed somewhere prefer others. A run that was not sent leaves an upstream whose starts fail.

Two tests of cell_scheduler and one of decision_cost place several tasks on each upstream of a fresh cell; they now let each upstream accept a start first and check the same figures.

--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -42,6 +42,22 @@
     cpu_limit_percent = unknown_cpu_limit_percent;
 }
 
+bool upstream_ledger::may_get_start() const {
+    return !starts.is_on_trial() || std::none_of(runs.begin(), runs.end(), [](const auto& entry) {
+        return entry.second.is_start_unanswered();
+    });
+}
+
+bool upstream_ledger::may_get_run(bool is_long_running) const {
+    // Long-running tasks wait for their records together, so that they are not spread over more upstreams.
+    if (is_long_running) {
+        return may_get_start();
+    }
+    return !starts.is_on_trial() || std::none_of(runs.begin(), runs.end(), [](const auto& entry) {
+        return entry.second.is_start_unanswered() || entry.second.is_unsent();
+    });
+}
+
 std::int64_t upstream_ledger::estimate_clock_ms(time_point now) const {
     return clock_ms + std::chrono::duration_cast<std::chrono::milliseconds>(now - clock_read_at).count();
 }
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -11,6 +11,7 @@
 #include "process/clock.hpp"
 #include "process/ids.hpp"
 #include "process/resource_vector.hpp"
+#include "process/start_health.hpp"
 #include "process/tail_model.hpp"
 #include "process/task_ref.hpp"
 #include "process/upstream_entry.hpp"
@@ -97,6 +98,10 @@
     bool is_unsent() const {
         return phase == run_phase::starting && !is_order_sent && !is_start_in_flight && !has_unknown_start;
     }
+    // Whether a start order for the run has no response yet, or had none.
+    bool is_start_unanswered() const {
+        return is_start_in_flight || (phase == run_phase::starting && has_unknown_start);
+    }
     // Whether the next incarnation of the upstream may have received the start order. One that this
     // incarnation has listed belongs to it, unless the order was sent again.
     bool may_be_in_next_incarnation() const {
@@ -195,6 +200,7 @@
     // Best-effort tasks that ended so recently that the next measurements still include them.
     std::vector<ended_best_effort_task> ended_best_effort_tasks;
     upstream_health health;
+    start_health starts;
     // Its slot in the index of the scheduler.
     upstream_index::slot_number slot = 0;
     // Whether the scheduler looks for orders to send again here, and for best-effort tasks to move.
@@ -219,6 +225,10 @@
                run.accepted_at < polled_at;
     }
     bool has_unknown_incarnations() const;
+    // Whether a further start order may be sent: while the upstream is on trial, it gets one at a time.
+    bool may_get_start() const;
+    // Whether a further run may be placed, in view of those that are unanswered or wait to be sent.
+    bool may_get_run(bool is_long_running) const;
     // The earliest expected end of a run.
     time_point get_expected_end() const;
     resource_vector get_room() const { return entry.capacity - committed; }
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -435,6 +435,7 @@
                   << " upstream=" << std::visit([](const auto& o) { return o.upstream.get(); }, order)
                   << " token=" << claim_.row.token << " result=" << get_name(response.result);
     }
+    bool may_decide_more = response.result != order_result::accepted;
     {
         std::lock_guard lock(mutex_);
         if (start != nullptr) {
@@ -443,12 +444,13 @@
         }
         load_.end_order(std::chrono::steady_clock::now() - started_at, may_have_been_sent(response.result));
         scheduler_.apply_order_response(order, response, read_clock());
+        may_decide_more = scheduler_.take_freed_upstreams() || may_decide_more;
     }
     if (response.result == order_result::refused_token) {
         const auto id = std::visit([](const auto& o) { return o.upstream.get(); }, order);
         end("upstream " + id + " has seen a fencing token higher than " + std::to_string(claim_.row.token));
     }
-    if (response.result != order_result::accepted) {
+    if (may_decide_more) {
         wake_.notify_all();
     }
 }
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -212,6 +212,7 @@
     upstream.clock_ms = 0;
     upstream.has_responded = false;
     upstream.health = upstream_health();
+    upstream.starts = start_health();
     expect_leases_of_incarnation(upstream, source, now);
 }
 
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -125,10 +125,16 @@
         return;
     }
     auto& upstream = found->second;
+    if (!upstream.may_get_run(false)) {
+        // Tasks may have passed it by for that.
+        mark_changed(upstream);
+        has_freed_upstreams_ = true;
+    }
     run->is_start_in_flight = false;
     if (response.result == order_result::accepted) {
         run->accepted_at = now;
     }
+    record_start_health(upstream, response, now);
     if (run->is_incarnation_unknown) {
         extend_leases(upstream, now);
     }
@@ -156,6 +162,7 @@
             if (run->is_incarnation_unknown ||
                 (run->failed_orders >= max_unknown_starts && !upstream.is_unresponsive)) {
                 begin_stop(upstream, *run, now);
+                avoid_upstream(order.task, order.upstream);
             }
             return;
         case order_result::refused_other_incarnation:
@@ -176,16 +183,40 @@
         begin_stop(upstream, *run, now);
         return;
     }
-    auto* job = find_job(order.task.job);
-    auto* task = job == nullptr ? nullptr : job->find_task(order.task);
     const bool is_own_doing =
         response.result == order_result::delayed || response.result == order_result::withdrawn;
-    if (task != nullptr && !is_own_doing) {
-        record_avoided_upstream(*task, order.upstream);
+    // A delayed order may have waited behind others that the upstream leaves unanswered.
+    if (!is_own_doing || upstream.starts.is_failing()) {
+        avoid_upstream(order.task, order.upstream);
     }
     release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
 }
 
+void cell_scheduler::record_start_health(upstream_ledger& upstream, const order_response& response,
+                                         time_point now) {
+    switch (response.result) {
+        case order_result::accepted:
+            upstream.starts.record_accepted();
+            return;
+        case order_result::unknown:
+        case order_result::not_sent:
+        case order_result::refused_busy:
+            if (response.is_conclusive) {
+                upstream.starts.record_failure(now);
+            }
+            return;
+        default:
+            return;
+    }
+}
+
+void cell_scheduler::avoid_upstream(const task_ref& ref, const upstream_id& upstream) {
+    auto* job = find_job(ref.job);
+    if (auto* task = job == nullptr ? nullptr : job->find_task(ref)) {
+        record_avoided_upstream(*task, upstream);
+    }
+}
+
 void cell_scheduler::apply_stop_response(const stop_order& order, const order_response& response,
                                          time_point now) {
     const auto found = upstreams_.find(order.upstream);
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -111,6 +111,10 @@
         release_absent_runs(upstream, report, now);
     }
     upstream.has_responded = true;
+    if (!report.running.empty() && !upstream.starts.is_failing()) {
+        // As after a takeover: it has accepted these starts.
+        upstream.starts.record_accepted();
+    }
     clear_proven_runs(upstream);
     stop_stalled_runs(upstream, now);
     apply_latency_measurements(upstream, report, now);
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -109,11 +109,15 @@
         if (run.is_order_sent || run.phase == run_phase::running) {
             continue;
         }
-        if (run.phase == run_phase::starting && !is_start_justified(upstream, key.first, key.second, now)) {
-            if (run.is_unsent()) {
-                withdrawn.push_back(key);
-                continue;
-            }
+        // A run that was not sent yet does not wait behind starts that the upstream leaves unanswered.
+        const bool is_held_up = run.is_unsent() && upstream.starts.is_failing() && !upstream.may_get_start();
+        const bool is_withdrawn = run.phase == run_phase::starting &&
+                                  (is_held_up || !is_start_justified(upstream, key.first, key.second, now));
+        if (is_withdrawn && run.is_unsent()) {
+            withdrawn.push_back(key);
+            continue;
+        }
+        if (is_withdrawn) {
             begin_stop(upstream, run, now);
         }
         if (run.awaits_record && run.phase == run_phase::starting) {
@@ -124,13 +128,15 @@
         } else if (run.phase == run_phase::stopping) {
             run.is_order_sent = true;
             orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second, upstream.boot_unix_ms});
-        } else if (may_start && !upstream.is_unresponsive && starts_left_ > 0) {
+        } else if (may_start && !upstream.is_unresponsive && starts_left_ > 0 &&
+                   (run.has_unknown_start || upstream.may_get_start())) {
             repeat_start(upstream, key, run, now, orders);
         } else {
             has_pending_orders = true;
         }
     }
     for (const auto& key : withdrawn) {
+        avoid_upstream(key.first, upstream.entry.id);
         release_run(upstream, key, now);
     }
     // Other members of a gang may have to be stopped now.
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -195,6 +195,9 @@
     void confirm_commit(const progress_commit& commit);
     // Queues the contents of a commit that was not written for the next one.
     void reject_commit(const progress_commit& commit);
+    // Whether an upstream with as many unanswered start orders as it may have has answered one since the last
+    // call.
+    bool take_freed_upstreams() { return std::exchange(has_freed_upstreams_, false); }
     // Whether a commit has allowed start orders to be sent since the last call.
     bool take_recorded_starts();
     // Whether all runs of earlier owners are known, and no late order of theirs can start another.
@@ -435,6 +438,10 @@
     // Responses to orders (cell_orders.cpp)
     void apply_start_response(const start_order& order, const order_response& response, time_point now);
     void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
+    // Records whether the upstream takes start orders.
+    void record_start_health(upstream_ledger& upstream, const order_response& response, time_point now);
+    // The task starts on the upstream again only if all others cost more.
+    void avoid_upstream(const task_ref& task, const upstream_id& upstream);
     // Whether the start of the run would still be decided as it was. Checked each time a start order is sent:
     // one that is sent again, or that has waited for its record, may be seconds old.
     bool is_start_justified(const upstream_ledger& upstream, const task_ref& task, std::uint64_t run,
@@ -555,6 +562,7 @@
     owner_history history_;
     std::uint64_t ended_before_ = 1;
     std::vector<lease_bound> lease_bounds_;
+    bool has_freed_upstreams_ = false;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
     std::shared_ptr<const queue_index> queues_;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -48,7 +48,8 @@
 }
 
 bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) {
-    return is_offered(upstream, now) && upstream.has_responded && !upstream.is_unresponsive;
+    return is_offered(upstream, now) && upstream.has_responded && !upstream.is_unresponsive &&
+           !upstream.starts.is_paused(now);
 }
 
 void cell_scheduler::update_index(time_point now) {
@@ -59,7 +60,7 @@
             continue;
         }
         index_.update(slot, std::nullopt);
-        if (upstream.health.is_blocked(now)) {
+        if (upstream.health.is_blocked(now) || upstream.starts.is_paused(now)) {
             blocked_slots_.push_back(slot);
         }
     }
@@ -207,7 +208,10 @@
             !may_share(upstream, task, search_.terms.spec->is_long_running, now)) {
             continue;
         }
-        const auto task_cost = (is_avoided(task, id) ? avoided_cost : 0.0) + get_crash_cost(upstream, task);
+        // A task whose start has failed is not the one to try out another upstream.
+        const bool is_trial = upstream.starts.is_on_trial() && !task.avoided.empty();
+        const auto task_cost =
+            (is_avoided(task, id) || is_trial ? avoided_cost : 0.0) + get_crash_cost(upstream, task);
         const candidate option{first.cost + task_cost, first.slot};
         if (!best || option < *best) {
             best = option;
@@ -260,6 +264,10 @@
     if (upstream.health.is_on_trial() && has_finite_runs(upstream)) {
         return false;
     }
+    // Members of a gang start together or not at all.
+    if (!spec.is_gang && !upstream.may_get_run(spec.is_long_running)) {
+        return false;
+    }
     return spec.max_per_upstream == 0 || count_runs_of_step(upstream, terms.step) < spec.max_per_upstream;
 }
 
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -1,5 +1,9 @@
 #include "tests/cell_fixture.hpp"
 
+#include <algorithm>
+#include <utility>
+#include <variant>
+
 #include <boost/test/unit_test.hpp>
 
 namespace jacinthvane {
@@ -8,6 +12,9 @@
 
 constexpr std::chrono::milliseconds time_step{20};
 constexpr std::chrono::milliseconds poll_interval{40};
+constexpr std::chrono::milliseconds order_timeout{600};
+// Connections for the orders to one upstream.
+constexpr std::size_t order_connections = 3;
 const std::string service = "tree";
 const std::string queue = "merges";
 
@@ -16,25 +23,27 @@
 cell_fixture::cell_fixture(std::size_t upstream_count, resource_vector capacity)
     : clock(std::make_shared<manual_clock>()),
       upstreams(clock, [this](const task_ref& task) { return behaviors[task.job.get()]; }) {
-    for (std::size_t i = 0; i < upstream_count; ++i) {
-        upstream_entry entry;
-        entry.id = upstream_id("u" + std::to_string(i));
-        entry.service = service;
-        entry.address = entry.id.get();
-        entry.labels = {"a", "rack" + std::to_string(i / 2)};
-        entry.capacity = capacity;
-        entry.boot_unix_ms = 1;
-        upstreams.add(entry);
-        entries.push_back(entry);
-    }
     scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
-    for (const auto& entry : entries) {
-        scheduler->list_upstream(entry, clock->get_now());
+    for (std::size_t i = 0; i < upstream_count; ++i) {
+        add_upstream("u" + std::to_string(i), capacity);
     }
     scheduler->record_upstreams(entries);
 }
 
+void cell_fixture::add_upstream(const std::string& id, resource_vector capacity) {
+    upstream_entry entry;
+    entry.id = upstream_id(id);
+    entry.service = service;
+    entry.address = id;
+    entry.labels = {"a", "rack" + std::to_string(entries.size() / 2)};
+    entry.capacity = capacity;
+    entry.boot_unix_ms = 1;
+    upstreams.add(entry);
+    entries.push_back(entry);
+    scheduler->list_upstream(entry, clock->get_now());
+}
+
 accepted_job cell_fixture::make_job(std::vector<step_spec> steps, std::uint32_t max_attempts) {
     accepted_job job;
     job.rules.queue = queue;
@@ -101,6 +110,7 @@
             scheduler->mark_unresponsive(entry.id, now);
         }
     }
+    apply_held_orders();
     scheduler->record_upstreams(entries);
     scheduler->declare_silent_upstreams(now);
     const auto declared = scheduler->get_silent_upstreams();
@@ -112,14 +122,48 @@
     lease_bounds = scheduler->get_lease_bounds(now);
     const auto decisions = scheduler->decide(read_clock(), may_start);
     for (const auto& order : decisions.orders) {
-        const bool is_lost = loses_order && loses_order(order);
-        const auto response =
-            is_lost ? order_response{order_result::unknown, 0} : upstreams.send_now(order, token);
-        scheduler->apply_order_response(order, response, read_clock());
+        send(order);
     }
     commit();
 }
 
+void cell_fixture::send(const upstream_order& order) {
+    const auto& upstream = std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
+    const auto held = count_held_orders(upstream);
+    const bool is_held = holds_order && holds_order(order);
+    if (is_held || held >= order_connections) {
+        const auto result = held >= order_connections ? order_result::delayed : order_result::unknown;
+        held_orders_.push_back({order, {result, 0}, clock->get_now() + order_timeout});
+        return;
+    }
+    order_response response;
+    const auto answer = answers_order ? answers_order(order) : std::nullopt;
+    if (answer) {
+        response = *answer;
+    } else if (!loses_order || !loses_order(order)) {
+        response = upstreams.send_now(order, token);
+    }
+    scheduler->apply_order_response(order, response, read_clock());
+}
+
+void cell_fixture::apply_held_orders() {
+    for (const auto& held : std::exchange(held_orders_, {})) {
+        if (clock->get_now() < held.responds_at) {
+            held_orders_.push_back(held);
+        } else {
+            scheduler->apply_order_response(held.order, held.response, read_clock());
+        }
+    }
+}
+
+std::size_t cell_fixture::count_held_orders(const upstream_id& upstream) const {
+    return static_cast<std::size_t>(
+        std::count_if(held_orders_.begin(), held_orders_.end(), [&](const auto& held) {
+            return held.response.result == order_result::unknown &&
+                   std::visit([](const auto& o) { return o.upstream; }, held.order) == upstream;
+        }));
+}
+
 void cell_fixture::commit() {
     constexpr std::size_t max_jobs = 9;
     if (delays_commits || !scheduler->has_commit_work()) {
@@ -135,6 +179,15 @@
     scheduler->confirm_commit(batch);
 }
 
+void cell_fixture::prove_upstreams() {
+    const auto tasks = static_cast<std::uint32_t>(entries.size() * 2);
+    add_job("proof", make_job({make_step(tasks)}), 100);
+    run_for(std::chrono::seconds(1));
+    for (const auto& entry : entries) {
+        BOOST_REQUIRE(!scheduler->find_upstream(entry.id)->starts.is_on_trial());
+    }
+}
+
 void cell_fixture::restart_next_owner() {
     history = owner_history(cell_limits().proof_window);
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
@@ -142,6 +195,7 @@
 
 void cell_fixture::take_over(bool has_upstream_list) {
     ++token;
+    held_orders_.clear();
     scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
     scheduler->set_owner_history(history);
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
     // Replaces the owner by one with a higher fencing token and the progress committed so far. It has the
     // stored list of upstreams unless has_upstream_list is false.
     void take_over(bool has_upstream_list = true);
+    void add_upstream(const std::string& id, resource_vector capacity = {16000, 64000, 0, 0});
+    // Has each upstream accept a start, so that it may get several at a time.
+    void prove_upstreams();
     // Has the next owner be a process that starts now: of all owners it sees only the present one.
     void restart_next_owner();
 
@@ -46,6 +50,11 @@
     bool is_polling = true;
     // Returns true for an order that is lost: it gets no response and is not carried out.
     std::function<bool(const upstream_order&)> loses_order;
+    // Returns true for an order that its upstream leaves unanswered: it holds one of the connections to the
+    // upstream until its deadline, and further orders wait for one.
+    std::function<bool(const upstream_order&)> holds_order;
+    // Returns a response in place of that of the upstream, which then does not receive the order.
+    std::function<std::optional<order_response>(const upstream_order&)> answers_order;
     std::vector<upstream_entry> entries;
     std::map<job_id, accepted_job> accepted;
     std::map<job_id, job_progress> committed;
@@ -60,10 +69,21 @@
     bool has_complete_locations = true;
 
 private:
+    // An order without a response yet.
+    struct held_order {
+        upstream_order order;
+        order_response response;
+        time_point responds_at;
+    };
+
     void step();
+    void send(const upstream_order& order);
+    void apply_held_orders();
+    std::size_t count_held_orders(const upstream_id& upstream) const;
     void commit();
 
     std::map<upstream_id, time_point> next_poll_;
+    std::vector<held_order> held_orders_;
 };
 
 }  // namespace jacinthvane
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -147,7 +147,7 @@
 // Guards against repeated start orders that go out beside the bound on start orders and fill a full link.
 BOOST_AUTO_TEST_CASE(repeats_no_more_starts_than_orders_can_be_sent) {
     cell_fixture cell(4);
-    cell.run_for(milliseconds(100));
+    cell.prove_upstreams();
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(30)}));
     for (const auto& order : cell.scheduler->decide(cell.read_clock(), true).orders) {
         cell.scheduler->apply_order_response(order, order_response(), cell.read_clock());
@@ -247,7 +247,7 @@
 // are neither started nor counted as started.
 BOOST_AUTO_TEST_CASE(starts_no_more_tasks_than_orders_can_be_sent) {
     cell_fixture cell(4);
-    cell.run_for(milliseconds(100));
+    cell.prove_upstreams();
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(30)}));
     const auto decisions = cell.scheduler->decide(cell.read_clock(), true, 5);
     BOOST_TEST(decisions.orders.size() == 5U);
--- a/tests/decision_cost_test.cpp
+++ b/tests/decision_cost_test.cpp
@@ -75,7 +75,7 @@
 // Guards against a decision that evaluates all upstreams for each step although the first ones have room.
 BOOST_AUTO_TEST_CASE(a_start_evaluates_few_upstreams_while_there_is_room) {
     cell_fixture cell(upstream_count);
-    cell.run_for(milliseconds(100));
+    cell.prove_upstreams();
     add_best_effort_jobs(cell, 10);
     BOOST_TEST(count_evaluations(cell) <= job_count * 10 * 3);
     BOOST_TEST(cell.scheduler->count_waiting_tasks() == 0U);
