--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -222,8 +222,8 @@
     return decode_with_format<run_locations>(bytes, "record of locations");
 }
 
-absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes, time_point read_at) {
-    return decode_with_format<takeover_notes>(bytes, "takeover notes", read_at);
+absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes, time_point now) {
+    return decode_with_format<takeover_notes>(bytes, "takeover notes", now);
 }
 
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes) {
--- a/src/connection/cell_records.hpp
+++ b/src/connection/cell_records.hpp
@@ -63,8 +63,9 @@
 absl::StatusOr<overload_notice> decode_overload_notice(std::string_view bytes);
 absl::StatusOr<known_upstreams> decode_known_upstreams(std::string_view bytes);
 absl::StatusOr<run_locations> decode_run_locations(std::string_view bytes);
-// Deadlines count from when the record was read, so they are never earlier than those that were written.
-absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes, time_point read_at);
+// Deadlines count from the given time. If the record was written before, they are never earlier than those
+// that were written.
+absl::StatusOr<takeover_notes> decode_takeover_notes(std::string_view bytes, time_point now);
 absl::StatusOr<tail_snapshot> decode_tail_snapshot(std::string_view bytes);
 absl::StatusOr<live_peer> decode_live_peer(std::string_view bytes);
 
--- a/src/process/start_health.hpp
+++ b/src/process/start_health.hpp
@@ -17,10 +17,11 @@
     void record_accepted();
 
     bool is_paused(time_point now) const { return now < paused_until_; }
+    time_point get_paused_until() const { return paused_until_; }
     // Whether the last start has failed.
     bool is_failing() const { return failures_in_row_ > 0; }
     // Returns false once a start has been accepted, until one fails.
-    bool is_on_trial() const { return !has_accepted_; }
+    bool is_unproven() const { return !has_accepted_; }
 
     bool operator==(const start_health&) const = default;
 
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -43,17 +43,23 @@
 }
 
 bool upstream_ledger::may_get_start() const {
-    return !starts.is_on_trial() || std::none_of(runs.begin(), runs.end(), [](const auto& entry) {
+    return !starts.is_unproven() || std::none_of(runs.begin(), runs.end(), [](const auto& entry) {
         return entry.second.is_start_unanswered();
     });
 }
 
+bool upstream_ledger::leaves_starts_unanswered() const {
+    return std::any_of(runs.begin(), runs.end(), [](const auto& entry) {
+        return entry.second.phase == run_phase::starting && entry.second.has_unknown_start;
+    });
+}
+
 bool upstream_ledger::may_get_run(bool is_long_running) const {
     // Long-running tasks wait for their records together, so that they are not spread over more upstreams.
-    if (is_long_running) {
+    if (is_long_running && !starts.is_failing()) {
         return may_get_start();
     }
-    return !starts.is_on_trial() || std::none_of(runs.begin(), runs.end(), [](const auto& entry) {
+    return !starts.is_unproven() || std::none_of(runs.begin(), runs.end(), [](const auto& entry) {
         return entry.second.is_start_unanswered() || entry.second.is_unsent();
     });
 }
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -173,6 +173,9 @@
     std::int64_t clock_ms = 0;
     time_point clock_read_at;
     std::int64_t boot_unix_ms = 0;
+    // Until when the lease lasts that the poll in flight renews, and the one that an answered poll renewed.
+    time_point offered_lease_until;
+    time_point confirmed_lease_until;
     // Every lease that this or a previous owner granted has ended by then.
     time_point leases_expire_at;
     // Highest number of an end of a run that was applied, and of one whose effect is durable.
@@ -227,6 +230,8 @@
     bool has_unknown_incarnations() const;
     // Whether a further start order may be sent: while the upstream is on trial, it gets one at a time.
     bool may_get_start() const;
+    // Whether a start order got no response and may still take effect.
+    bool leaves_starts_unanswered() const;
     // Whether a further run may be placed, in view of those that are unanswered or wait to be sent.
     bool may_get_run(bool is_long_running) const;
     // The earliest expected end of a run.
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -93,7 +93,7 @@
     awaitable<bool> load_jobs();
     awaitable<bool> load_locations();
     // Returns false if the item cannot be read.
-    bool load_location_item(const store_item& item, time_point read_at);
+    bool load_location_item(const store_item& item);
     void apply_loaded_notes();
     // Returns the highest token of an earlier owner that may have granted leases on the upstream.
     std::uint64_t get_granting_token(const upstream_id& id) const;
@@ -134,7 +134,8 @@
     takeover_notes make_notes() const;
     // Whether the notes in the store have to be written again. Called with the mutex held.
     bool are_notes_outdated() const;
-    bool has_silent_upstreams() const;
+    // Whether what the next owner has to know changes soon.
+    bool has_changing_notes() const;
     awaitable<void> prove_ownership();
     awaitable<void> remove_expired_jobs();
     awaitable<void> log_summaries();
--- a/src/request/cell_takeover.cpp
+++ b/src/request/cell_takeover.cpp
@@ -19,22 +19,22 @@
     if (!listing.ok()) {
         co_return false;
     }
-    const auto read_at = std::chrono::steady_clock::now();
     loaded_locations_.clear();
     loaded_notes_ = takeover_notes();
     loaded_notes_revision_ = 0;
     bool is_readable = true;
     for (const auto& item : listing->items) {
-        is_readable = load_location_item(item, read_at) && is_readable;
+        is_readable = load_location_item(item) && is_readable;
     }
     // One job whose runs are unknown makes all of them unknown, since its record may name any upstream.
     loaded_notes_.has_complete_locations = loaded_notes_.has_complete_locations && is_readable;
     co_return true;
 }
 
-bool cell_owner::load_location_item(const store_item& item, time_point read_at) {
+bool cell_owner::load_location_item(const store_item& item) {
     if (item.key == make_notes_key()) {
-        auto notes = decode_takeover_notes(item.value, read_at);
+        // The notes were written under the condition of the row before, so not after this owner's claim.
+        auto notes = decode_takeover_notes(item.value, claim_.claimed_at);
         if (!notes.ok()) {
             LOG(ERROR) << "event=takeover_notes_unreadable error=\"" << notes.status().message() << "\"";
             return false;
@@ -86,15 +86,15 @@
 }
 
 bool cell_owner::are_notes_outdated() const {
-    const bool has_remaining_times = !written_notes_.silent.empty() && !written_notes_.lease_bounds.empty();
-    const bool is_due = has_remaining_times && std::chrono::steady_clock::now() >= next_notes_;
+    const bool is_due =
+        !written_notes_.lease_bounds.empty() && std::chrono::steady_clock::now() >= next_notes_;
     return is_due || make_notes() != written_notes_;
 }
 
-bool cell_owner::has_silent_upstreams() const {
+bool cell_owner::has_changing_notes() const {
     std::lock_guard lock(mutex_);
     return !scheduler_.is_takeover_resolved(std::chrono::steady_clock::now()) ||
-           !written_notes_.silent.empty();
+           !written_notes_.silent.empty() || !written_notes_.lease_bounds.empty();
 }
 
 void cell_owner::update_notes() {
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -21,8 +21,8 @@
 
 using std::chrono::milliseconds;
 
-// The next owner takes remaining times in the notes as of its own read, so they are at most this much too
-// long for it.
+// How often the remaining times in the notes are brought up to date. The next owner counts them from its
+// claim, so they are too long for it by the age of the notes.
 constexpr milliseconds notes_interval{1000};
 
 }  // namespace
@@ -145,13 +145,13 @@
 
 awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
     constexpr std::int64_t normal_wait_ms = 2000;
-    // While upstreams of earlier owners do not respond, the next owner is told soon which.
+    // What the next owner has to know of earlier ones is written soon after it changes.
     constexpr std::int64_t takeover_wait_ms = 250;
     constexpr milliseconds margin{700};
     // Registry entries change frequently; changes within this time are read with one call.
     constexpr milliseconds batch_window{300};
     while (!is_over()) {
-        const auto wait_ms = has_silent_upstreams() ? takeover_wait_ms : normal_wait_ms;
+        const auto wait_ms = has_changing_notes() ? takeover_wait_ms : normal_wait_ms;
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
         auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
         bool is_listing = false;
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -213,6 +213,8 @@
     upstream.has_responded = false;
     upstream.health = upstream_health();
     upstream.starts = start_health();
+    upstream.offered_lease_until = time_point();
+    upstream.confirmed_lease_until = time_point();
     expect_leases_of_incarnation(upstream, source, now);
 }
 
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <variant>
 
+#include <glog/logging.h>
+
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -74,7 +76,7 @@
                                         std::uint64_t run, time_point now) const {
     const auto job = jobs_.find(ref.job);
     const bool has_room = !upstream.get_room().is_negative() && upstream.unknown_size_runs == 0;
-    if (!is_offered(upstream, now) || !has_room || job == jobs_.end()) {
+    if (!accepts_new_runs(upstream, now) || !has_room || job == jobs_.end()) {
         return false;
     }
     const auto* task = job->second.find_task(ref);
@@ -108,6 +110,8 @@
     run.repeated_orders = 0;
     run.next_order = now;
     expect_orders(upstream);
+    // An upstream whose unanswered start is stopped may get another one.
+    mark_changed(upstream);
 }
 
 void cell_scheduler::expect_orders(upstream_ledger& upstream) {
@@ -183,10 +187,10 @@
         begin_stop(upstream, *run, now);
         return;
     }
-    const bool is_own_doing =
+    const bool is_local_cause =
         response.result == order_result::delayed || response.result == order_result::withdrawn;
     // A delayed order may have waited behind others that the upstream leaves unanswered.
-    if (!is_own_doing || upstream.starts.is_failing()) {
+    if (!is_local_cause || upstream.starts.is_failing()) {
         avoid_upstream(order.task, order.upstream);
     }
     release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
@@ -203,6 +207,7 @@
         case order_result::refused_busy:
             if (response.is_conclusive) {
                 upstream.starts.record_failure(now);
+                log_start_pause(upstream, now);
             }
             return;
         default:
@@ -210,6 +215,16 @@
     }
 }
 
+void cell_scheduler::log_start_pause(const upstream_ledger& upstream, time_point now) const {
+    if (!upstream.starts.is_paused(now)) {
+        return;
+    }
+    const auto span =
+        std::chrono::duration_cast<std::chrono::milliseconds>(upstream.starts.get_paused_until() - now);
+    LOG(INFO) << "event=upstream_starts_paused upstream=" << upstream.entry.id.get()
+              << " for_ms=" << span.count() << " runs=" << upstream.runs.size() << " token=" << token_;
+}
+
 void cell_scheduler::avoid_upstream(const task_ref& ref, const upstream_id& upstream) {
     auto* job = find_job(ref.job);
     if (auto* task = job == nullptr ? nullptr : job->find_task(ref)) {
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -231,7 +231,9 @@
     order.payload = job.job->spec.payload;
     order.checkpoint = found.checkpoint;
     order.ticket = ticket;
-    order.lease_until_clock_ms = grant_lease(upstream, std::min(max_start_delay, limits_.max_lease), now);
+    // Without a lease from a poll, the run would end if the next poll came late.
+    const bool has_lease = now + max_start_delay <= upstream.confirmed_lease_until;
+    order.lease_until_clock_ms = grant_lease(upstream, has_lease ? max_start_delay : limits_.max_lease, now);
     order.boot_unix_ms = upstream.boot_unix_ms;
     return order;
 }
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -56,6 +56,7 @@
     if (is_responsive) {
         const bool may_grant = may_renew && !upstream.is_declared_silent;
         poll.lease_until_clock_ms = may_grant ? grant_lease(upstream, limits_.max_lease, now) : 0;
+        upstream.offered_lease_until = may_grant ? now + limits_.max_lease : upstream.offered_lease_until;
         const bool is_stopping =
             std::any_of(upstream.runs.begin(), upstream.runs.end(),
                         [](const auto& entry) { return entry.second.phase == run_phase::stopping; });
@@ -95,6 +96,7 @@
     upstream.is_unresponsive = false;
     upstream.may_have_inherited_runs = false;
     upstream.failed_polls_after_expiry = 0;
+    upstream.confirmed_lease_until = upstream.offered_lease_until;
     upstream.clock_ms = report.clock_ms;
     upstream.clock_read_at = now;
     for (const auto& row : report.ended) {
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -110,9 +110,13 @@
             continue;
         }
         // A run that was not sent yet does not wait behind starts that the upstream leaves unanswered.
-        const bool is_held_up = run.is_unsent() && upstream.starts.is_failing() && !upstream.may_get_start();
+        const bool is_held_up = run.is_unsent() && !upstream.may_get_start() &&
+                                (upstream.starts.is_failing() || upstream.leaves_starts_unanswered());
         const bool is_withdrawn = run.phase == run_phase::starting &&
                                   (is_held_up || !is_start_justified(upstream, key.first, key.second, now));
+        if (is_held_up) {
+            avoid_upstream(key.first, upstream.entry.id);
+        }
         if (is_withdrawn && run.is_unsent()) {
             withdrawn.push_back(key);
             continue;
@@ -130,21 +134,20 @@
             orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second, upstream.boot_unix_ms});
         } else if (may_start && !upstream.is_unresponsive && starts_left_ > 0 &&
                    (run.has_unknown_start || upstream.may_get_start())) {
-            repeat_start(upstream, key, run, now, orders);
+            send_start(upstream, key, run, now, orders);
         } else {
             has_pending_orders = true;
         }
     }
     for (const auto& key : withdrawn) {
-        avoid_upstream(key.first, upstream.entry.id);
         release_run(upstream, key, now);
     }
     // Other members of a gang may have to be stopped now.
     return has_pending_orders || !withdrawn.empty();
 }
 
-void cell_scheduler::repeat_start(upstream_ledger& upstream, const run_key& key, run_record& run,
-                                  time_point now, std::vector<upstream_order>& orders) {
+void cell_scheduler::send_start(upstream_ledger& upstream, const run_key& key, run_record& run,
+                                time_point now, std::vector<upstream_order>& orders) {
     run.started_at = run.is_unsent() ? now : run.started_at;
     run.is_order_sent = true;
     run.is_start_in_flight = true;
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -195,8 +195,7 @@
     void confirm_commit(const progress_commit& commit);
     // Queues the contents of a commit that was not written for the next one.
     void reject_commit(const progress_commit& commit);
-    // Whether an upstream with as many unanswered start orders as it may have has answered one since the last
-    // call.
+    // Whether an upstream that might get no further start has answered one since the last call.
     bool take_freed_upstreams() { return std::exchange(has_freed_upstreams_, false); }
     // Whether a commit has allowed start orders to be sent since the last call.
     bool take_recorded_starts();
@@ -328,6 +327,9 @@
         // with.
         std::string image;
         bool is_best_effort = false;
+        // An upstream that is unproven may take these where it takes no others.
+        bool is_long_running = false;
+        bool is_gang = false;
         // No upstream that has not changed after this revision of the index has room.
         std::uint64_t revision = 0;
         std::uint64_t decision = 0;
@@ -336,6 +338,7 @@
         // Whether a task of the other kind needs at least as much, so that it fits nowhere either.
         bool covers(const unplaced_kind& other) const {
             return service == other.service && is_best_effort == other.is_best_effort &&
+                   is_long_running == other.is_long_running && is_gang == other.is_gang &&
                    image == other.image && size.is_within(other.size);
         }
     };
@@ -440,6 +443,7 @@
     void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
     // Records whether the upstream takes start orders.
     void record_start_health(upstream_ledger& upstream, const order_response& response, time_point now);
+    void log_start_pause(const upstream_ledger& upstream, time_point now) const;
     // The task starts on the upstream again only if all others cost more.
     void avoid_upstream(const task_ref& task, const upstream_id& upstream);
     // Whether the start of the run would still be decided as it was. Checked each time a start order is sent:
@@ -496,8 +500,8 @@
     // The same for one upstream. Returns whether it has further orders to send later.
     bool repeat_orders_of(upstream_ledger& upstream, time_point now, bool may_start,
                           std::vector<upstream_order>& orders);
-    void repeat_start(upstream_ledger& upstream, const run_key& key, run_record& run, time_point now,
-                      std::vector<upstream_order>& orders);
+    void send_start(upstream_ledger& upstream, const run_key& key, run_record& run, time_point now,
+                    std::vector<upstream_order>& orders);
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
@@ -516,8 +520,8 @@
     void mark_changed(const upstream_ledger& upstream);
     // Applies the marked changes to the index.
     void update_index(time_point now);
-    // Whether new runs are wanted on the upstream, if it responds.
-    static bool is_offered(const upstream_ledger& upstream, time_point now);
+    // Whether tasks may start on the upstream if it responds.
+    static bool accepts_new_runs(const upstream_ledger& upstream, time_point now);
     static bool is_usable(const upstream_ledger& upstream, time_point now);
     step_terms make_terms(const job_record& job, const step_ref& step, time_point now);
     // Continues the search for the step, or begins one.
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -12,6 +12,8 @@
 
 // Cost of an upstream on which the task has failed or made no progress, in units of its processors.
 constexpr double avoided_cost = 2.0;
+// Cost of an upstream that has not accepted a start yet, for tasks that should not be the first ones there.
+constexpr double unproven_cost = 2.0;
 
 bool is_avoided(const task_record& task, const upstream_id& upstream) {
     return std::find(task.avoided.begin(), task.avoided.end(), upstream) != task.avoided.end();
@@ -42,13 +44,13 @@
     best_effort_views_[upstream.slot].decision = 0;
 }
 
-bool cell_scheduler::is_offered(const upstream_ledger& upstream, time_point now) {
+bool cell_scheduler::accepts_new_runs(const upstream_ledger& upstream, time_point now) {
     return upstream.is_listed && upstream.is_recorded && !upstream.is_declared_silent &&
            !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
 }
 
 bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) {
-    return is_offered(upstream, now) && upstream.has_responded && !upstream.is_unresponsive &&
+    return accepts_new_runs(upstream, now) && upstream.has_responded && !upstream.is_unresponsive &&
            !upstream.starts.is_paused(now);
 }
 
@@ -100,6 +102,8 @@
     kind.size = spec.size;
     kind.image = spec.is_best_effort ? spec.image : std::string();
     kind.is_best_effort = spec.is_best_effort;
+    kind.is_long_running = spec.is_long_running;
+    kind.is_gang = spec.is_gang;
     return kind;
 }
 
@@ -208,10 +212,11 @@
             !may_share(upstream, task, search_.terms.spec->is_long_running, now)) {
             continue;
         }
-        // A task whose start has failed is not the one to try out another upstream.
-        const bool is_trial = upstream.starts.is_on_trial() && !task.avoided.empty();
-        const auto task_cost =
-            (is_avoided(task, id) || is_trial ? avoided_cost : 0.0) + get_crash_cost(upstream, task);
+        // A task that has failed somewhere, or one of a gang, is not the one to try out an upstream.
+        const bool is_trial =
+            upstream.starts.is_unproven() && (search_.terms.spec->is_gang || !task.avoided.empty());
+        const auto task_cost = (is_avoided(task, id) ? avoided_cost : 0.0) +
+                               (is_trial ? unproven_cost : 0.0) + get_crash_cost(upstream, task);
         const candidate option{first.cost + task_cost, first.slot};
         if (!best || option < *best) {
             best = option;
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -184,7 +184,7 @@
     add_job("proof", make_job({make_step(tasks)}), 100);
     run_for(std::chrono::seconds(1));
     for (const auto& entry : entries) {
-        BOOST_REQUIRE(!scheduler->find_upstream(entry.id)->starts.is_on_trial());
+        BOOST_REQUIRE(!scheduler->find_upstream(entry.id)->starts.is_unproven());
     }
 }
 
--- a/tests/decision_cost_test.cpp
+++ b/tests/decision_cost_test.cpp
@@ -81,4 +81,15 @@
     BOOST_TEST(cell.scheduler->count_waiting_tasks() == 0U);
 }
 
+// Guards against a first decision after a takeover that evaluates all upstreams for each task: each upstream
+// then takes one start at a time. A step for which none is left evaluates all of them once.
+BOOST_AUTO_TEST_CASE(a_step_without_room_on_unproven_upstreams_evaluates_each_once) {
+    constexpr std::size_t tasks_per_job = 10;
+    constexpr std::size_t steps_without_room = job_count - upstream_count / tasks_per_job;
+    cell_fixture cell(upstream_count);
+    cell.run_for(milliseconds(100));
+    add_best_effort_jobs(cell, tasks_per_job);
+    BOOST_TEST(count_evaluations(cell) <= upstream_count * 3 + steps_without_room * upstream_count);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/order_grounds_test.cpp
+++ b/tests/order_grounds_test.cpp
@@ -104,24 +104,29 @@
     BOOST_TEST(!cell.scheduler->is_start_pending(start, now));
 }
 
-// Guards against a start that waited until its location was durable, while its upstream began to leave.
-BOOST_AUTO_TEST_CASE(a_start_that_waited_for_its_record_is_not_sent_to_an_upstream_that_leaves) {
+// Guards against a start that waited until its location was durable, while its upstream lost the label that
+// the task requires.
+BOOST_AUTO_TEST_CASE(a_start_that_waited_for_its_record_is_checked_again) {
     cell_fixture cell(2);
     cell.run_for(milliseconds(100));
     cell.delays_commits = true;
-    cell.add_job("job", make_job(true));
+    auto job = make_job(true);
+    job.spec.steps.front().required_label = "a";
+    cell.add_job("job", job);
     cell.run_for(milliseconds(20));
     upstream_id chosen;
     for (const auto& entry : cell.entries) {
         chosen = cell.scheduler->find_upstream(entry.id)->runs.empty() ? chosen : entry.id;
     }
     auto entry = find_entry(cell, chosen);
-    entry.is_leaving = true;
+    entry.labels.front() = "other";
     cell.scheduler->list_upstream(entry, cell.clock->get_now());
     cell.delays_commits = false;
     std::set<upstream_id> started;
     cell.loses_order = [&](const upstream_order& order) {
-        started.insert(std::get<start_order>(order).upstream);
+        if (const auto* start = std::get_if<start_order>(&order)) {
+            started.insert(start->upstream);
+        }
         return false;
     };
     cell.run_for(seconds(1));
--- a/tests/start_health_test.cpp
+++ b/tests/start_health_test.cpp
@@ -102,11 +102,34 @@
     check_no_violations(cell);
 }
 
+// Guards against a task that returns to the upstream that has just refused it, since no upstream of the cell
+// has accepted a start yet.
+BOOST_AUTO_TEST_CASE(a_refused_task_goes_elsewhere_also_among_unproven_upstreams) {
+    cell_fixture cell(4);
+    cell.run_for(milliseconds(100));
+    std::map<upstream_id, int> refused;
+    cell.answers_order = [&](const upstream_order& order) -> std::optional<order_response> {
+        const auto* start = std::get_if<start_order>(&order);
+        if (start == nullptr || (!refused.empty() && !refused.contains(start->upstream))) {
+            return std::nullopt;
+        }
+        ++refused[start->upstream];
+        return order_response{order_result::refused_room, 0};
+    };
+    cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}));
+    cell.run_for(seconds(1));
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST(refused.begin()->second == 1);
+    BOOST_TEST(cell.upstreams.get_start_count() == 1U);
+}
+
+// Guards against an upstream that gets start after start while it takes none, and against a pause without
+// end.
 BOOST_AUTO_TEST_CASE(several_failed_starts_pause_an_upstream_for_a_limited_time) {
     jacinthvane::start_health starts;
     time_point now = time_point(seconds(100));
     starts.record_failure(now);
-    BOOST_TEST(starts.is_on_trial());
+    BOOST_TEST(starts.is_unproven());
     BOOST_TEST(!starts.is_paused(now));
     starts.record_failure(now);
     BOOST_TEST(starts.is_paused(now + milliseconds(499)));
@@ -116,7 +139,7 @@
     }
     BOOST_TEST(!starts.is_paused(now + seconds(4)));
     starts.record_accepted();
-    BOOST_TEST(!starts.is_on_trial());
+    BOOST_TEST(!starts.is_unproven());
     BOOST_TEST(!starts.is_paused(now));
 }
 
