Revert "Let overdue jobs have their turn instead of working them off one by one"

The test is right: after a burst most jobs are overdue; sharing the room among all of them ends none, so more and more of them wait, and each decision costs more.

--- a/src/process/job_order.cpp
+++ b/src/process/job_order.cpp
@@ -55,14 +55,6 @@
 
 }  // namespace
 
-bool has_active_tasks(const job_record& job) {
-    return std::any_of(job.occurrences.begin(), job.occurrences.end(), [](const auto& entry) {
-        const auto& steps = entry.second.steps;
-        return std::any_of(steps.begin(), steps.end(),
-                           [](const step_state& step) { return step.active_tasks > 0; });
-    });
-}
-
 double get_declared_work(const job_spec& spec) {
     double work = 0;
     for (const auto& step : spec.steps) {
@@ -93,10 +85,6 @@
     if (finish > rank.objective) {
         rank.outlook = finish > value_expires_at ? job_outlook::no_remaining_value : job_outlook::late;
     }
-    if (rank.outlook == job_outlook::no_remaining_value) {
-        rank.last_active_at = job.last_active_at;
-        return rank;
-    }
     const double share = mean_work > 0 ? get_declared_work(spec) / mean_work : 1.0;
     const double value = std::min(fixed_value + work_value * share, max_value);
     rank.cost_per_value = remaining / value;
--- a/src/process/job_order.hpp
+++ b/src/process/job_order.hpp
@@ -15,8 +15,6 @@
 struct job_rank {
     job_outlook outlook = job_outlook::in_time;
     std::int32_t priority = 0;
-    // When a task of the job was last active. Set only for a job without remaining value.
-    time_point last_active_at;
     // Remaining work per unit of the job's value. A job that is nearly done goes before a job of the same
     // value that has barely started.
     double cost_per_value = 0;
@@ -27,15 +25,10 @@
 
 // Ranks a job so that few jobs miss their objectives under overload. Ordering by deadline alone would
 // complete every job just after its objective. Instead, jobs that can no longer meet their objective are
-// ranked last, and the others are ranked by priority, then by value per unit of remaining work. Among jobs
-// without remaining value, the one goes first of which nothing has run for the longest time, so that none is
-// passed by for good. mean_work is the mean work of the jobs of this queue, in thousandths of a processor
-// times milliseconds.
+// ranked last, and the others are ranked by priority, then by value per unit of remaining work. mean_work is
+// the mean work of the jobs of this queue, in thousandths of a processor times milliseconds.
 job_rank rank_job(const job_record& job, std::int32_t priority, double mean_work, time_point now);
 
-// Whether a run of a task of the job is active.
-bool has_active_tasks(const job_record& job);
-
 // Returns the work of all tasks of the job by its estimates, in thousandths of a processor times
 // milliseconds.
 double get_declared_work(const job_spec& spec);
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -89,8 +89,6 @@
     // The store may have a record of the locations of its runs.
     bool has_stored_locations = false;
     bool has_started = false;
-    // The last decision in which a task was active, if others waited.
-    time_point last_active_at;
     // Final phase that is not committed to the store yet; queued means that there is none.
     job_phase pending_end = job_phase::queued;
 
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -82,7 +82,6 @@
     std::vector<std::pair<job_rank, job_record*>> ranked;
     for (const auto& id : waiting_jobs_) {
         if (auto* job = find_job(id)) {
-            job->last_active_at = has_active_tasks(*job) ? now : job->last_active_at;
             ranked.emplace_back(rank_job(*job, get_priority(*job), mean_work_[job->job->rules.queue], now),
                                 job);
         }
