--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -129,7 +129,9 @@
         }
         if (now < run.next_order) {
             has_pending_orders = true;
-        } else if (run.phase == run_phase::stopping) {
+            continue;
+        }
+        if (run.phase == run_phase::stopping) {
             run.is_order_sent = true;
             orders.emplace_back(stop_order{upstream.entry.id, key.first, key.second, upstream.boot_unix_ms});
         } else if (may_start && !upstream.is_unresponsive && starts_left_ > 0 &&
