Start nothing in an evacuated failure domain

Cause: the operators' key op/evacuate/ZONE was not read at all, so tasks went on starting in the domain. Change: registry_port lists and watches the keys; evacuation_state holds the set and until when it is complete; the scheduler checks it at each decision and at each send; a start takes effect before the bound or is refused by its upstream; the owner lists the evacuations before its first decision and watches them, once a second. Off without Bounds.EvacuateMs.

--- a/src/connection/memory_registry.cpp
+++ b/src/connection/memory_registry.cpp
@@ -58,6 +58,53 @@
     }
 }
 
+awaitable<absl::StatusOr<evacuation_changes>> memory_registry::list_evacuations(time_point deadline) {
+    if (auto status = co_await check_evacuation_call(deadline); !status.ok()) {
+        co_return status;
+    }
+    std::lock_guard lock(mutex_);
+    evacuation_changes result;
+    result.revision = revision_;
+    for (const auto& domain : evacuations_) {
+        result.changes.push_back({domain, false});
+    }
+    co_return result;
+}
+
+awaitable<absl::StatusOr<evacuation_changes>> memory_registry::watch_evacuations(std::uint64_t after,
+                                                                                 std::int64_t wait_ms,
+                                                                                 time_point deadline) {
+    const auto until = get_wait_deadline(wait_ms, deadline);
+    if (auto status = co_await check_evacuation_call(deadline); !status.ok()) {
+        co_return status;
+    }
+    while (true) {
+        const auto seen = changed_.get_count();
+        {
+            std::lock_guard lock(mutex_);
+            if (auto status = check_available(); !status.ok()) {
+                co_return status;
+            }
+            if (after < discarded_evacuations_) {
+                co_return make_error(error_kind::version_conflict, "the history has been discarded");
+            }
+            evacuation_changes result;
+            result.revision = revision_;
+            for (const auto& numbered : evacuation_history_) {
+                if (numbered.revision > after) {
+                    result.changes.push_back(numbered.change);
+                }
+            }
+            if (!result.changes.empty()) {
+                co_return result;
+            }
+        }
+        if (!co_await changed_.wait(seen, until)) {
+            co_return evacuation_changes{{}, after};
+        }
+    }
+}
+
 awaitable<absl::StatusOr<config_state>> memory_registry::get_config(time_point) {
     std::lock_guard lock(mutex_);
     if (auto status = check_available(); !status.ok()) {
@@ -92,6 +139,54 @@
                     : absl::OkStatus();
 }
 
+awaitable<absl::Status> memory_registry::check_evacuation_call(time_point deadline) {
+    bool is_lost = false;
+    absl::Status status;
+    {
+        std::lock_guard lock(mutex_);
+        ++evacuation_calls_;
+        is_lost = loses_evacuation_responses_;
+        status = check_available();
+    }
+    if (is_lost) {
+        co_await wait_until(deadline);
+        status = make_error(error_kind::store_unavailable, "the response was lost");
+    }
+    co_return status;
+}
+
+void memory_registry::set_evacuation(const failure_domain_id& domain, bool is_evacuated) {
+    {
+        std::lock_guard lock(mutex_);
+        if (is_evacuated) {
+            evacuations_.insert(domain);
+        } else {
+            evacuations_.erase(domain);
+        }
+        evacuation_history_.push_back({++revision_, {domain, !is_evacuated}});
+    }
+    changed_.notify_all();
+}
+
+void memory_registry::lose_evacuation_responses(bool is_lost) {
+    std::lock_guard lock(mutex_);
+    loses_evacuation_responses_ = is_lost;
+}
+
+void memory_registry::discard_evacuation_history() {
+    {
+        std::lock_guard lock(mutex_);
+        evacuation_history_.clear();
+        discarded_evacuations_ = ++revision_;
+    }
+    changed_.notify_all();
+}
+
+std::uint64_t memory_registry::get_evacuation_calls() const {
+    std::lock_guard lock(mutex_);
+    return evacuation_calls_;
+}
+
 void memory_registry::set_down(bool is_down) {
     {
         std::lock_guard lock(mutex_);
--- a/src/connection/registry_port.hpp
+++ b/src/connection/registry_port.hpp
@@ -10,6 +10,7 @@
 #include "absl/status/statusor.h"
 #include "connection/asio.hpp"
 #include "process/clock.hpp"
+#include "process/evacuation_change.hpp"
 #include "process/upstream_entry.hpp"
 #include "version/dispatch_config.hpp"
 
@@ -42,7 +43,8 @@
     std::uint64_t revision = 0;
 };
 
-// The platform's registry of upstreams and of the operators' configuration. Errors are those of cell_store.
+// The platform's registry of upstreams, and of the operators' configuration and evacuations. Errors are those
+// of cell_store.
 class registry_port {
 public:
     using backend = std::variant<std::shared_ptr<platform::registry>, std::shared_ptr<memory_registry>>;
@@ -52,6 +54,9 @@
     awaitable<absl::StatusOr<upstream_changes>> list_upstreams(time_point deadline);
     awaitable<absl::StatusOr<upstream_changes>> watch_upstreams(std::uint64_t after, std::int64_t wait_ms,
                                                                 time_point deadline);
+    awaitable<absl::StatusOr<evacuation_changes>> list_evacuations(time_point deadline);
+    awaitable<absl::StatusOr<evacuation_changes>> watch_evacuations(std::uint64_t after, std::int64_t wait_ms,
+                                                                    time_point deadline);
     awaitable<absl::StatusOr<config_state>> get_config(time_point deadline);
     awaitable<absl::StatusOr<config_state>> watch_config(std::uint64_t after, std::int64_t wait_ms,
                                                          time_point deadline);
--- a/src/process/cell_limits.hpp
+++ b/src/process/cell_limits.hpp
@@ -19,6 +19,9 @@
     std::chrono::milliseconds proof_window{6000};
     // How long the outcome of a job can be requested after the job ended.
     std::chrono::milliseconds status_retention{120000};
+    // The time after which an acknowledged evacuation of a failure domain must be in force: no task starts
+    // there later. 0 means that there are no evacuations.
+    std::chrono::milliseconds evacuation_bound{0};
 
     bool operator==(const cell_limits&) const = default;
 };
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -116,6 +116,11 @@
                        .Help("1 if the process owns a cell and cannot start further jobs in time")
                        .Register(*registry_)
                        .Add({});
+    evacuated_domains_ = &prometheus::BuildGauge()
+                              .Name("jacinthvane_evacuated_failure_domains")
+                              .Help("Failure domains in which the owner of a cell starts nothing on request")
+                              .Register(*registry_)
+                              .Add({});
     auto& members = prometheus::BuildGauge()
                         .Name("jacinthvane_members")
                         .Help("Members known to this process by state")
@@ -198,6 +203,10 @@
     overloaded_->Set(is_overloaded ? 1 : 0);
 }
 
+void metrics::set_evacuated_domains(std::uint64_t domains) {
+    evacuated_domains_->Set(static_cast<double>(domains));
+}
+
 std::uint64_t metrics::get_count(decision what) const {
     return static_cast<std::uint64_t>(decisions_.at(index_of(what))->Value());
 }
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -94,6 +94,8 @@
     void set_ready(bool is_ready);
     // Whether this process owns a cell and cannot start the tasks of further jobs in time.
     void set_overloaded(bool is_overloaded);
+    // Failure domains in which this process, as the owner of a cell, starts nothing at an operator's request.
+    void set_evacuated_domains(std::uint64_t domains);
 
     // Return the values of counters, for the state dump and for tests.
     std::uint64_t get_count(decision what) const;
@@ -125,6 +127,7 @@
     prometheus::Gauge* config_version_ = nullptr;
     prometheus::Gauge* ready_ = nullptr;
     prometheus::Gauge* overloaded_ = nullptr;
+    prometheus::Gauge* evacuated_domains_ = nullptr;
     std::map<std::string, prometheus::Gauge*, std::less<>> members_;
     std::array<prometheus::Gauge*, 2> queued_{};
     std::array<prometheus::Gauge*, 2> running_{};
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -97,6 +97,7 @@
             return;
         }
         is_over_ = true;
+        metrics_.set_evacuated_domains(0);
     }
     LOG(INFO) << "event=ownership_ended token=" << claim_.row.token << " reason=\"" << reason << "\"";
     wake_.notify_all();
@@ -153,6 +154,9 @@
     }
     spawn("follow_jobs", follow_jobs(jobs_revision_));
     spawn("follow_upstreams", follow_upstreams(registry_revision_));
+    if (limits_.evacuation_bound > milliseconds(0)) {
+        spawn("follow_evacuations", follow_evacuations(evacuations_revision_));
+    }
     spawn("write_progress", write_progress());
     spawn("prove_ownership", prove_ownership());
     spawn("remove_expired_jobs", remove_expired_jobs());
@@ -165,26 +169,25 @@
 
 awaitable<bool> cell_owner::load() {
     co_await load_tails();
-    // Takeovers often happen while the store has faults, so each step is retried until ownership is lost.
-    for (bool is_done = false; !is_done;) {
-        is_done = co_await load_jobs();
-        if (is_over() || !is_ownership_proven()) {
-            co_return false;
-        }
-        if (!is_done) {
-            co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
-        }
+    if (!co_await retry_load(&cell_owner::load_jobs) || !co_await retry_load(&cell_owner::load_upstreams)) {
+        co_return false;
     }
-    for (bool is_done = false; !is_done;) {
-        is_done = co_await load_upstreams();
+    // After the upstreams, so that an unknown failure domain can be logged.
+    co_return co_await retry_load(&cell_owner::load_evacuations);
+}
+
+awaitable<bool> cell_owner::retry_load(awaitable<bool> (cell_owner::*load_part)()) {
+    // Takeovers often happen while the store has faults, so each step is retried until ownership is lost.
+    while (true) {
+        const bool is_done = co_await (this->*load_part)();
         if (is_over() || !is_ownership_proven()) {
             co_return false;
         }
-        if (!is_done) {
-            co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
+        if (is_done) {
+            co_return true;
         }
+        co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
     }
-    co_return true;
 }
 
 awaitable<bool> cell_owner::load_jobs() {
@@ -364,7 +367,7 @@
             std::lock_guard lock(mutex_);
             const auto placements = scheduler_.get_evaluated_placements();
             std::uint64_t starts = 0;
-            decisions = scheduler_.decide(read_clock(), may_act() && !is_stopping_, link_.get_free_starts());
+            decisions = scheduler_.decide(read_clock(), may_start(), link_.get_free_starts());
             has_commit_work = scheduler_.has_commit_work();
             for (const auto& order : decisions.orders) {
                 const auto& id =
@@ -405,10 +408,11 @@
     const auto now = std::chrono::steady_clock::now();
     const auto* start = std::get_if<start_order>(&order);
     const bool is_wanted = start == nullptr || scheduler_.is_start_pending(*start, now);
-    if (!is_wanted || !may_act()) {
+    if (!is_wanted || !may_act() || (start != nullptr && !is_evacuation_view_current())) {
         return std::nullopt;
     }
-    return now + (proven_at_ + limits_.proof_window - get_suspend_aware_now());
+    const auto proof_end = now + (proven_at_ + limits_.proof_window - get_suspend_aware_now());
+    return start == nullptr ? proof_end : std::min(proof_end, scheduler_.get_evacuations().get_send_limit());
 }
 
 awaitable<void> cell_owner::send_order(upstream_order order, std::string address) {
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -98,8 +98,22 @@
     // Returns the highest token of an earlier owner that may have granted leases on the upstream.
     std::uint64_t get_granting_token(const upstream_id& id) const;
     awaitable<bool> load_upstreams();
+    awaitable<bool> load_evacuations();
+    // Calls the function until it succeeds or ownership is lost, and returns whether it succeeded.
+    awaitable<bool> retry_load(awaitable<bool> (cell_owner::*load_part)());
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
+    awaitable<void> follow_evacuations(std::uint64_t revision);
+    // Applies a read that contains all evacuations that the store had accepted at a time, given on both
+    // clocks.
+    void apply_evacuations(const evacuation_changes& changes, bool is_listing, time_point complete_until,
+                           time_point complete_until_suspend_aware);
+    // Logs the first of several failed reads in a row, and the first that succeeds again.
+    void record_evacuation_read(const absl::Status& status);
+    // Whether the evacuations are known well enough to send start orders. Called with the mutex held.
+    bool is_evacuation_view_current() const;
+    // Whether start orders may be decided. Called with the mutex held.
+    bool may_start() const;
     // Waits for a moment until the applied ends of the upstream are durable. The upstream responds at once
     // while it has unacknowledged ends, so polling it before would be a busy loop. Returns false if the
     // upstream need not be polled any more.
@@ -192,6 +206,9 @@
     bool is_job_watch_failing_ = false;
     work_pacer pacer_;
     std::set<upstream_id> polled_upstreams_;
+    bool is_evacuation_read_failing_ = false;
+    // See evacuation_state; on a clock that also counts the time in which the machine is suspended.
+    time_point evacuations_complete_until_;
     bool is_over_ = false;
     bool is_loaded_ = false;
     bool is_stopping_ = false;
@@ -217,6 +234,7 @@
     tail_snapshot written_tails_;
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
+    std::uint64_t evacuations_revision_ = 0;
     // Notified when a change may allow a scheduling decision, when progress waits to be written, and when a
     // commit has been written.
     async_signal wake_;
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -63,7 +63,7 @@
 
 bool cell_scheduler::is_start_pending(const start_order& order, time_point now) const {
     const auto found = upstreams_.find(order.upstream);
-    if (found == upstreams_.end()) {
+    if (found == upstreams_.end() || !evacuations_.allows_starts(now)) {
         return false;
     }
     const auto run = found->second.runs.find(run_key_view{order.task, order.run});
@@ -187,6 +187,11 @@
         begin_stop(upstream, *run, now);
         return;
     }
+    if (response.result == order_result::withdrawn && is_evacuated(upstream)) {
+        // Says nothing about the upstream, and the task may start elsewhere at once.
+        release_run(upstream, {order.task, order.run}, now);
+        return;
+    }
     const bool is_local_cause =
         response.result == order_result::delayed || response.result == order_result::withdrawn;
     // A delayed order may have waited behind others that the upstream leaves unanswered.
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -34,6 +34,7 @@
     decisions.orders.swap(queued_orders_);
     starts_left_ = max_starts;
     has_held_starts_ = false;
+    may_start = may_start && evacuations_.allows_starts(now);
     repeat_orders(now, may_start, decisions.orders);
     if (!may_start) {
         return decisions;
@@ -233,7 +234,9 @@
     order.ticket = ticket;
     // Without a lease from a poll, the run would end if the next poll came late.
     const bool has_lease = now + max_start_delay <= upstream.confirmed_lease_until;
-    order.lease_until_clock_ms = grant_lease(upstream, has_lease ? max_start_delay : limits_.max_lease, now);
+    const auto length =
+        std::min(has_lease ? max_start_delay : limits_.max_lease, get_longest_start_delay(now));
+    order.lease_until_clock_ms = grant_lease(upstream, length, now);
     order.boot_unix_ms = upstream.boot_unix_ms;
     return order;
 }
@@ -296,8 +299,12 @@
         return;
     }
     found->second.valid_until = valid_until;
-    for (const auto& [upstream, ticket] : allowed) {
-        found->second.tickets[upstream] = ticket;
+    for (const auto& [id, ticket] : allowed) {
+        const auto* upstream = find_upstream(id);
+        // Its evacuation may have begun after the request.
+        if (upstream == nullptr || !is_evacuated(*upstream)) {
+            found->second.tickets[id] = ticket;
+        }
     }
 }
 
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -17,7 +17,11 @@
 }  // namespace
 
 cell_scheduler::cell_scheduler(cell_limits limits, std::uint64_t token, time_point owner_since)
-    : limits_(limits), token_(token), owner_since_(owner_since), history_(limits.proof_window) {
+    : limits_(limits),
+      token_(token),
+      owner_since_(owner_since),
+      history_(limits.proof_window),
+      evacuations_(limits.evacuation_bound) {
     history_.record_owner(token, std::string(), std::string(), owner_since);
 }
 
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "process/cell_summary.hpp"
 #include "process/clock.hpp"
 #include "process/cpu_limit_plan.hpp"
+#include "process/evacuation_change.hpp"
 #include "process/ids.hpp"
 #include "process/job_progress.hpp"
 #include "process/job_record.hpp"
@@ -28,6 +29,7 @@
 #include "process/upstream_ledger.hpp"
 #include "process/upstream_order.hpp"
 #include "process/upstream_report.hpp"
+#include "version/evacuation_state.hpp"
 #include "version/queue_index.hpp"
 
 namespace jacinthvane {
@@ -149,6 +151,14 @@
     std::vector<upstream_entry> get_upstreams() const;
     const upstream_ledger* find_upstream(const upstream_id& id) const;
 
+    // Records the evacuated failure domains: a listing of all, or changes since the last call. Evacuations
+    // that were accepted before the given time are included. Returns how many have begun or ended. Without
+    // cell_limits::evacuation_bound it need not be called; otherwise no task starts before the first call,
+    // nor when the last one is too long ago.
+    std::size_t apply_evacuations(const evacuation_changes& changes, bool is_listing,
+                                  time_point complete_until);
+    const evacuation_state& get_evacuations() const { return evacuations_; }
+
     // The next poll of an upstream. It renews the lease only if may_renew is set, that is while ownership is
     // proven.
     poll_order make_poll(const upstream_id& id, time_point now, bool is_same_connection, bool may_renew);
@@ -505,6 +515,15 @@
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
+    // Evacuations of failure domains (cell_evacuations.cpp)
+    bool is_evacuated(const upstream_ledger& upstream) const;
+    // How much later than now a start order that is sent now may take effect.
+    std::chrono::milliseconds get_longest_start_delay(time_point now) const;
+    // Withdraws start orders that were not sent, and tickets.
+    void begin_evacuation(const failure_domain_id& domain);
+    void end_evacuation(const failure_domain_id& domain);
+    void log_evacuation(const char* event, const failure_domain_id& domain) const;
+
     // Decisions (cell_placement.cpp)
     // Learns, and logs, whether the runs of earlier owners have become known, or unknown again.
     void update_takeover(time_point now);
@@ -521,8 +540,8 @@
     // Applies the marked changes to the index.
     void update_index(time_point now);
     // Whether tasks may start on the upstream if it responds.
-    static bool accepts_new_runs(const upstream_ledger& upstream, time_point now);
-    static bool is_usable(const upstream_ledger& upstream, time_point now);
+    bool accepts_new_runs(const upstream_ledger& upstream, time_point now) const;
+    bool is_usable(const upstream_ledger& upstream, time_point now) const;
     step_terms make_terms(const job_record& job, const step_ref& step, time_point now);
     // Continues the search for the step, or begins one.
     void resume_search(const job_record& job, const step_ref& step, const unplaced_kind& wanted,
@@ -564,6 +583,7 @@
     const std::uint64_t token_;
     const time_point owner_since_;
     owner_history history_;
+    evacuation_state evacuations_;
     std::uint64_t ended_before_ = 1;
     std::vector<lease_bound> lease_bounds_;
     bool has_freed_upstreams_ = false;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -44,12 +44,12 @@
     best_effort_views_[upstream.slot].decision = 0;
 }
 
-bool cell_scheduler::accepts_new_runs(const upstream_ledger& upstream, time_point now) {
-    return upstream.is_listed && upstream.is_recorded && !upstream.is_declared_silent &&
-           !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
+bool cell_scheduler::accepts_new_runs(const upstream_ledger& upstream, time_point now) const {
+    return !is_evacuated(upstream) && upstream.is_listed && upstream.is_recorded &&
+           !upstream.is_declared_silent && !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
 }
 
-bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) {
+bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) const {
     return accepts_new_runs(upstream, now) && upstream.has_responded && !upstream.is_unresponsive &&
            !upstream.starts.is_paused(now);
 }
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -20,10 +20,12 @@
 
 }  // namespace
 
-cell_fixture::cell_fixture(std::size_t upstream_count, resource_vector capacity)
-    : clock(std::make_shared<manual_clock>()),
+cell_fixture::cell_fixture(std::size_t upstream_count, resource_vector capacity,
+                           const cell_limits& wanted_limits)
+    : limits(wanted_limits),
+      clock(std::make_shared<manual_clock>()),
       upstreams(clock, [this](const task_ref& task) { return behaviors[task.job.get()]; }) {
-    scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
+    scheduler = std::make_unique<cell_scheduler>(limits, token, clock->get_now());
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
     for (std::size_t i = 0; i < upstream_count; ++i) {
         add_upstream("u" + std::to_string(i), capacity);
@@ -36,6 +38,7 @@
     entry.id = upstream_id(id);
     entry.service = service;
     entry.address = id;
+    entry.failure_domain = failure_domain_id("zone" + std::to_string(entries.size() % 2));
     entry.labels = {"a", "rack" + std::to_string(entries.size() / 2)};
     entry.capacity = capacity;
     entry.boot_unix_ms = 1;
@@ -111,6 +114,7 @@
         }
     }
     apply_held_orders();
+    read_evacuations();
     scheduler->record_upstreams(entries);
     scheduler->declare_silent_upstreams(now);
     const auto declared = scheduler->get_silent_upstreams();
@@ -127,6 +131,17 @@
     commit();
 }
 
+void cell_fixture::read_evacuations() {
+    if (limits.evacuation_bound == std::chrono::milliseconds(0) || !is_store_readable) {
+        return;
+    }
+    evacuation_changes listing;
+    for (const auto& domain : evacuated) {
+        listing.changes.push_back({domain, false});
+    }
+    scheduler->apply_evacuations(listing, true, clock->get_now());
+}
+
 void cell_fixture::send(const upstream_order& order) {
     const auto& upstream = std::visit([](const auto& o) -> const upstream_id& { return o.upstream; }, order);
     const auto held = count_held_orders(upstream);
@@ -196,7 +211,7 @@
 void cell_fixture::take_over(bool has_upstream_list) {
     ++token;
     held_orders_.clear();
-    scheduler = std::make_unique<cell_scheduler>(cell_limits(), token, clock->get_now());
+    scheduler = std::make_unique<cell_scheduler>(limits, token, clock->get_now());
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
     scheduler->set_owner_history(history);
     scheduler->record_lease_bounds(lease_bounds);
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,7 +20,8 @@
 // is set.
 class cell_fixture {
 public:
-    explicit cell_fixture(std::size_t upstream_count, resource_vector capacity = {16000, 64000, 0, 0});
+    explicit cell_fixture(std::size_t upstream_count, resource_vector capacity = {16000, 64000, 0, 0},
+                          const cell_limits& wanted_limits = {});
 
     // Makes a job with these steps. It fails once one of its tasks has failed max_attempts times.
     static accepted_job make_job(std::vector<step_spec> steps, std::uint32_t max_attempts = 3);
@@ -40,6 +42,7 @@
     clock_reading read_clock() const;
     job_phase get_state(const std::string& id) const;
 
+    const cell_limits limits;
     std::shared_ptr<manual_clock> clock;
     std::map<std::string, simulated_task> behaviors;
     memory_upstreams upstreams;
@@ -48,6 +51,10 @@
     bool delays_commits = false;
     bool may_start = true;
     bool is_polling = true;
+    // With limits.evacuation_bound: the failure domains that are evacuated in the store, and whether the
+    // store can be read.
+    std::set<failure_domain_id> evacuated;
+    bool is_store_readable = true;
     // Returns true for an order that is lost: it gets no response and is not carried out.
     std::function<bool(const upstream_order&)> loses_order;
     // Returns true for an order that its upstream leaves unanswered: it holds one of the connections to the
@@ -77,6 +84,7 @@
     };
 
     void step();
+    void read_evacuations();
     void send(const upstream_order& order);
     void apply_held_orders();
     std::size_t count_held_orders(const upstream_id& upstream) const;
