Load the parts of a cell one after the other

Cause: two co_await in one condition crashed every start of an owner (illegal instruction in cell_member/ a_strong_vm_takes_the_cell_at_the_first_start, gcc). Change: a loop over the parts with one co_await each. Result: cell_member passes (12 cases).

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -169,11 +169,15 @@
 
 awaitable<bool> cell_owner::load() {
     co_await load_tails();
-    if (!co_await retry_load(&cell_owner::load_jobs) || !co_await retry_load(&cell_owner::load_upstreams)) {
-        co_return false;
+    // The evacuations after the upstreams, so that an unknown failure domain can be logged.
+    for (const auto load_part :
+         {&cell_owner::load_jobs, &cell_owner::load_upstreams, &cell_owner::load_evacuations}) {
+        const bool is_done = co_await retry_load(load_part);
+        if (!is_done) {
+            co_return false;
+        }
     }
-    // After the upstreams, so that an unknown failure domain can be logged.
-    co_return co_await retry_load(&cell_owner::load_evacuations);
+    co_return true;
 }
 
 awaitable<bool> cell_owner::retry_load(awaitable<bool> (cell_owner::*load_part)()) {
