--- a/src/request/cell_evacuations.cpp
+++ b/src/request/cell_evacuations.cpp
@@ -51,7 +51,14 @@
             changes = co_await ports_.registry.watch_evacuations(revision, read_interval.count(),
                                                                  sent_at + read_interval + watch_margin);
         }
-        record_evacuation_read(changes.status());
+        const bool is_gap =
+            !must_list && !changes.ok() && get_error_kind(changes.status()) == error_kind::version_conflict;
+        if (is_gap) {
+            LOG(INFO) << "event=evacuation_history_gap revision=" << revision
+                      << " token=" << claim_.row.token;
+        } else {
+            record_evacuation_read(changes.status());
+        }
         if (changes.ok()) {
             revision = changes->revision;
             // The store has held a watch without changes for the whole wait, so there were none until its
@@ -61,9 +68,7 @@
             const auto waited = is_waited_out ? read_interval : milliseconds(0);
             apply_evacuations(*changes, must_list, sent_at + waited, sent_at_suspend_aware + waited);
         }
-        must_list = changes.ok()
-                        ? false
-                        : must_list || get_error_kind(changes.status()) == error_kind::version_conflict;
+        must_list = !changes.ok() && (must_list || is_gap);
         co_await wait_until(sent_at + read_interval);
     }
 }
--- a/tests/owner_fixture.cpp
+++ b/tests/owner_fixture.cpp
@@ -115,6 +115,9 @@
     for (const auto& entry : entries) {
         registry_->set_upstream(entry);
     }
+    for (const auto& domain : options.evacuated) {
+        registry_->set_evacuation(domain, true);
+    }
     const cell_ports ports{
         cell_store(store_), registry_port(registry_),
         upstream_port(std::make_shared<platform::upstream_connection>(context_, std::string()))};
@@ -122,6 +125,7 @@
     settings.vm = vm_id("owner");
     settings.peer_address = "127.0.0.1:1";
     settings.limits.max_lease = options.lease;
+    settings.limits.evacuation_bound = options.evacuation_bound;
     settings.link_mbps = options.link_mbps;
     member_ = std::make_shared<cell_member>(context_, ports, settings, "owner", counters_);
     member_->start();
--- a/tests/owner_fixture.hpp
+++ b/tests/owner_fixture.hpp
@@ -80,6 +80,10 @@
     std::int64_t link_mbps = 0;
     // Added to the text of each job.
     std::size_t payload_bytes = 0;
+    // See cell_limits.
+    std::chrono::milliseconds evacuation_bound{0};
+    // Failure domains that are evacuated before the owner starts.
+    std::vector<failure_domain_id> evacuated = {};
 
     bool operator==(const owner_options&) const = default;
 };
@@ -102,6 +106,7 @@
     void submit_long_running(std::uint32_t tasks);
 
     bool is_loaded() const;
+    memory_registry& get_registry() { return *registry_; }
     std::size_t get_job_count() const { return jobs_.size(); }
     std::size_t count_jobs_done() const;
 
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -72,6 +72,30 @@
 
 BOOST_AUTO_TEST_SUITE(platform_codec)
 
+BOOST_AUTO_TEST_CASE(reads_the_bound_of_evacuations_where_there_is_one) {
+    const auto without = platform::decode_settings(settings_body);
+    BOOST_REQUIRE(without.ok());
+    BOOST_TEST(without->limits.evacuation_bound.count() == 0);
+    auto body = settings_body;
+    body.insert(body.find("\"MaxHoldMs\""), "\"EvacuateMs\":5000,");
+    const auto with = platform::decode_settings(body);
+    BOOST_REQUIRE(with.ok());
+    BOOST_TEST(with->limits.evacuation_bound.count() == 5000);
+}
+
+// Guards against a request for an evacuation that is lost since its value is damaged.
+BOOST_AUTO_TEST_CASE(an_unreadable_value_hides_no_evacuation) {
+    for (const std::string value : {R"("%")", "{}", "7", R"("bm9")"}) {
+        const auto items = R"([{"Key":"op/evacuate/z","Value":)" + value + R"(,"Rev":5}])";
+        const auto page = platform::decode_page(R"({"items":)" + items + R"(,"At":9})");
+        BOOST_REQUIRE(page.ok());
+        BOOST_TEST(page->listing.items.size() == 1U);
+        const auto changes = platform::decode_changes(R"({"events":)" + items + R"(,"At":9})");
+        BOOST_REQUIRE(changes.ok());
+        BOOST_TEST(changes->changes.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reads_a_job) {
     const auto spec = platform::decode_job(job_body);
     BOOST_REQUIRE(spec.ok());
