Hold room that will soon be free for large tasks that fit nowhere

Cause: small tasks that rank after a large one (reserved processors, gang, serving) take each processor as it becomes free, so the large one waits for as long as small ones come.

Change: placement_forecast tells from the expected ends of runs where and when a task first fits. reservation_table holds a few reservations in memory (4 steps, 32 upstreams); while one stands, tasks of jobs that rank after it start on that upstream only if they end in time or leave enough room. It is given up 1 s after the expected time, with the job, with the upstream, or for a job that ranks before. Nothing is held unless tasks of clearly different sizes wait. Log lines and metrics tell what becomes of them.

Result: in tests/placement_forecast_test.cpp a task of six processors beside a stream of small ones starts after 0.6 s.

--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -11,12 +11,39 @@
 namespace {
 
 constexpr std::array decision_names = {
-    "placed",        "retried",           "hedged",        "ejected",       "probed",
-    "readmitted",    "evicted",           "resumed",       "parked",        "job_accepted",
-    "job_finished",  "job_cancelled",     "key_claimed",   "key_repeated",  "unknown_outcome",
-    "takeover",      "takeover_unproved", "handover",      "term_lapsed",   "late_start_refused",
-    "journal_batch", "journal_conflict",  "snapshot",      "link_replaced", "datagram_refused",
-    "config_change", "config_conflict",   "admin_refused", "runbook_step",  "task_exception",
+    "placed",
+    "retried",
+    "hedged",
+    "ejected",
+    "probed",
+    "readmitted",
+    "evicted",
+    "resumed",
+    "parked",
+    "job_accepted",
+    "job_finished",
+    "job_cancelled",
+    "key_claimed",
+    "key_repeated",
+    "unknown_outcome",
+    "takeover",
+    "takeover_unproved",
+    "handover",
+    "term_lapsed",
+    "late_start_refused",
+    "journal_batch",
+    "journal_conflict",
+    "snapshot",
+    "link_replaced",
+    "datagram_refused",
+    "config_change",
+    "config_conflict",
+    "admin_refused",
+    "runbook_step",
+    "task_exception",
+    "reservation_created",
+    "reservation_used",
+    "reservation_cancelled",
 };
 constexpr std::array store_call_names = {"get",         "compare_and_swap", "remove", "grant_lease",
                                          "renew_lease", "release_lease",    "watch"};
@@ -33,7 +60,7 @@
 const prometheus::Histogram::BucketBoundaries time_buckets = {
     1e-6, 1e-5, 1e-4, 0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 6.9, 15, 60, 600, 3600};
 
-static_assert(decision_names.size() == static_cast<std::size_t>(decision::task_exception) + 1);
+static_assert(decision_names.size() == static_cast<std::size_t>(decision::reservation_cancelled) + 1);
 static_assert(store_call_names.size() == static_cast<std::size_t>(store_call_kind::watch) + 1);
 static_assert(store_result_names.size() == static_cast<std::size_t>(store_result::unknown) + 1);
 static_assert(time_names.size() == static_cast<std::size_t>(measured_time::takeover) + 1);
@@ -98,6 +125,12 @@
                           .Help("Bytes appended to journals")
                           .Register(*registry_)
                           .Add({});
+    reservation_held_ =
+        &prometheus::BuildCounter()
+             .Name("jacinthvane_reservation_held_seconds_total")
+             .Help("Time for which room was held for large tasks by reservations that have ended")
+             .Register(*registry_)
+             .Add({});
 }
 
 void metrics::add_gauges() {
@@ -168,6 +201,10 @@
     journal_bytes_->Increment(static_cast<double>(bytes));
 }
 
+void metrics::count_reservation_held(double seconds) {
+    reservation_held_->Increment(seconds);
+}
+
 void metrics::observe(measured_time what, double seconds) {
     times_.at(index_of(what))->Observe(seconds);
 }
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -52,6 +52,9 @@
     admin_refused,
     runbook_step,
     task_exception,
+    reservation_created,
+    reservation_used,
+    reservation_cancelled,
 };
 
 enum class store_call_kind { get, compare_and_swap, remove, grant_lease, renew_lease, release_lease, watch };
@@ -85,6 +88,8 @@
     void count_store_call(store_call_kind call, store_result result);
     void count_link_bytes(link_direction direction, task_class work_class, std::uint64_t bytes);
     void count_journal_records(std::uint64_t records, std::uint64_t bytes);
+    // Counts the time for which room was held by reservations that have ended.
+    void count_reservation_held(double seconds);
     void observe(measured_time what, double seconds);
     void set_config_version(std::uint64_t version);
     // States outside the list joining, live, suspect, leaving and gone count as "other".
@@ -103,7 +108,7 @@
     std::string write_text() const;
 
 private:
-    static constexpr std::size_t decisions = static_cast<std::size_t>(decision::task_exception) + 1;
+    static constexpr std::size_t decisions = static_cast<std::size_t>(decision::reservation_cancelled) + 1;
     static constexpr std::size_t error_kinds = static_cast<std::size_t>(error_kind::internal) + 1;
     static constexpr std::size_t store_calls = static_cast<std::size_t>(store_call_kind::watch) + 1;
     static constexpr std::size_t store_results = static_cast<std::size_t>(store_result::unknown) + 1;
@@ -121,6 +126,7 @@
     std::array<std::array<prometheus::Counter*, 2>, 2> link_bytes_{};
     prometheus::Counter* journal_records_ = nullptr;
     prometheus::Counter* journal_bytes_ = nullptr;
+    prometheus::Counter* reservation_held_ = nullptr;
     std::array<prometheus::Histogram*, times> times_{};
     prometheus::Gauge* config_version_ = nullptr;
     prometheus::Gauge* ready_ = nullptr;
--- a/src/request/cell_load.cpp
+++ b/src/request/cell_load.cpp
@@ -14,6 +14,20 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// Counts what has become of reservations since the earlier totals.
+void count_reservations(const reservation_totals& earlier, const reservation_totals& totals,
+                        metrics& counters) {
+    counters.count(decision::reservation_created, totals.created - earlier.created);
+    counters.count(decision::reservation_used, totals.used - earlier.used);
+    counters.count(decision::reservation_cancelled, totals.cancelled - earlier.cancelled);
+    const std::chrono::duration<double> held = totals.held - earlier.held;
+    counters.count_reservation_held(held.count());
+}
+
+}  // namespace
+
 void cell_owner::record_query(std::size_t response_bytes) {
     std::lock_guard lock(mutex_);
     load_.add_query(response_bytes);
@@ -42,6 +56,7 @@
 
 awaitable<void> cell_owner::log_summaries() {
     constexpr milliseconds interval{1000};
+    reservation_totals counted;
     while (!is_over()) {
         co_await wait_until(std::chrono::steady_clock::now() + interval);
         cell_summary cell;
@@ -54,6 +69,8 @@
                    " start_bytes_in_flight=" + std::to_string(link_.get_bytes_in_flight()) +
                    " response_median_ms=" + (median ? std::to_string(median->count()) : "none");
             cell = scheduler_.get_summary(std::chrono::steady_clock::now());
+            count_reservations(counted, scheduler_.get_reservations().get_totals(), metrics_);
+            counted = scheduler_.get_reservations().get_totals();
         }
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
                   << " waiting_serving=" << cell.waiting_serving
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -47,7 +47,10 @@
     std::erase_if(unplaced_,
                   [&](const unplaced_kind& kind) { return now - kind.searched_at > max_search_age; });
     update_takeover(now);
-    for (auto* job : sort_waiting_jobs(now)) {
+    const auto order = sort_waiting_jobs(now);
+    maintain_reservations(order, now);
+    for (order_position_ = 0; order_position_ < order.size(); ++order_position_) {
+        auto* job = order[order_position_];
         if (starts_left_ == 0) {
             has_held_starts_ = true;
             break;
@@ -62,6 +65,9 @@
         }
         update_waiting(*job);
     }
+    create_reservations(now);
+    // Tasks that are moved rank after all that wait.
+    order_position_ = order.size();
     move_slow_best_effort_tasks(now);
     return decisions;
 }
@@ -105,6 +111,7 @@
     }
     const step_ref ref{job.id, occurrence.number, number};
     const auto& spec = job.job->spec.steps[number];
+    record_demand(spec, now);
     if (const auto* queue = find_queue(job); queue != nullptr && queue->advice) {
         request_advice(job, ref, now, decisions);
     }
@@ -127,6 +134,7 @@
         }
         const auto chosen = choose_upstream(job, ref, task, now);
         if (!chosen) {
+            record_unplaced_step(job, ref, task, now);
             // A task that has to be kept apart does not hold up the others of its step.
             if (!task.crashed_runs.empty()) {
                 continue;
@@ -177,6 +185,7 @@
     }
     search_.decision = 0;
     if (placements.size() < step.tasks.size()) {
+        record_unplaced_step(job, ref, step.tasks.front(), now);
         return;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -212,6 +221,7 @@
     }
     chosen.upstream->add_run(ref, run, record);
     mark_changed(*chosen.upstream);
+    use_reservation(ref.get_step(), *chosen.upstream, now);
     starts_left_ -= starts_left_ > 0 ? 1 : 0;
     if (spec.is_long_running) {
         // The start order is sent once the location is durable.
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -20,6 +20,8 @@
 #include "process/job_record.hpp"
 #include "process/job_spec.hpp"
 #include "process/owner_history.hpp"
+#include "process/placement_forecast.hpp"
+#include "process/reservation_table.hpp"
 #include "process/run_locations.hpp"
 #include "process/tail_model.hpp"
 #include "process/takeover_notes.hpp"
@@ -237,6 +239,8 @@
     cell_summary get_summary(time_point now) const;
     // Returns the number of tasks of released steps that wait for an upstream.
     std::size_t count_waiting_tasks() const;
+    // The room that is held for large tasks, and what became of earlier reservations.
+    const reservation_table& get_reservations() const { return reservations_; }
 
     // The learned interference between images, which the next owner starts from.
     tail_snapshot make_tail_snapshot() const { return tail_model_.make_snapshot(); }
@@ -288,6 +292,13 @@
         std::optional<upstream_index::slot_number> chosen;
         // An upstream was not eligible for its gain only, so that it may be soon without a change.
         bool has_low_gains = false;
+        // An upstream had room that is held for a job that ranks before.
+        bool has_held_room = false;
+    };
+    // A step of which a task fits nowhere, and the place of its job in the order of the decision.
+    struct unplaced_step {
+        step_ref step;
+        std::size_t position = 0;
     };
     // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
@@ -330,6 +341,9 @@
         // An upstream that is unproven may take these where it takes no others.
         bool is_long_running = false;
         bool is_gang = false;
+        // Some room was held for another job, so that shorter tasks may fit.
+        bool has_held_room = false;
+        std::int64_t estimated_ms = 0;
         // No upstream that has not changed after this revision of the index has room.
         std::uint64_t revision = 0;
         std::uint64_t decision = 0;
@@ -339,7 +353,8 @@
         bool covers(const unplaced_kind& other) const {
             return service == other.service && is_best_effort == other.is_best_effort &&
                    is_long_running == other.is_long_running && is_gang == other.is_gang &&
-                   image == other.image && size.is_within(other.size);
+                   image == other.image && size.is_within(other.size) &&
+                   (!has_held_room || estimated_ms <= other.estimated_ms);
         }
     };
 
@@ -513,6 +528,35 @@
                     cell_decisions& decisions);
     void place_gang(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
 
+    // Room that is held for large tasks (cell_reservations.cpp)
+    void record_demand(const step_spec& spec, time_point now);
+    // Records that a task of the step fits nowhere, if room may be held for the step.
+    void record_unplaced_step(const job_record& job, const step_ref& step, const task_record& task,
+                              time_point now);
+    // Ends the reservations that are not justified any more. The jobs are in the order of the decision.
+    void maintain_reservations(const std::vector<job_record*>& order, time_point now);
+    // Updates the position of the reservation, and returns how it ends if it does.
+    std::optional<reservation_end> check_reservation(reservation& known,
+                                                     const std::vector<job_record*>& order, time_point now);
+    // Appends the usable upstreams with held room that are not in the list.
+    void add_held_slots(std::vector<upstream_index::slot_number>& slots) const;
+    void end_reservation(std::size_t index, reservation_end how, time_point now);
+    // A task of the step starts on the upstream.
+    void use_reservation(const step_ref& step, const upstream_ledger& upstream, time_point now);
+    // Whether a task of the step would delay a reservation on the upstream of a job that ranks before.
+    bool is_room_held(const upstream_ledger& upstream, const step_terms& terms, time_point now) const;
+    // Holds room for the steps that were recorded in this decision.
+    void create_reservations(time_point now);
+    room_demand make_room_demand(const unplaced_step& wanted, time_point now);
+    // Forecasts the room of the upstreams that may run the step and are not held for a job that ranks before.
+    std::vector<room_forecast> forecast_rooms(const unplaced_step& wanted, time_point now);
+    // Ends reservations of jobs that rank after this one, as far as they are in the way. Returns false if
+    // there is no place.
+    bool make_place_for_reservation(const unplaced_step& wanted, const std::vector<room_hold>& holds,
+                                    time_point now);
+    void add_reservations(const unplaced_step& wanted, const room_demand& demand,
+                          const std::vector<room_hold>& holds, time_point now);
+
     // Search for upstreams (cell_search.cpp)
     std::optional<placement> choose_upstream(const job_record& job, const step_ref& step,
                                              const task_record& task, time_point now);
@@ -598,6 +642,12 @@
     std::vector<upstream_index::slot_number> slow_slots_;
     std::vector<upstream_index::slot_number> blocked_slots_;
     step_search search_;
+    reservation_table reservations_;
+    // Steps for which this decision may hold room, in the order of their jobs.
+    std::vector<unplaced_step> unplaced_steps_;
+    time_point next_reservation_scan_;
+    // Place of the job, whose tasks are being placed, in the order of the decision.
+    std::size_t order_position_ = 0;
     // Valid within one decision.
     std::size_t starts_left_ = 0;
     bool has_held_starts_ = false;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -104,6 +104,7 @@
     kind.is_best_effort = spec.is_best_effort;
     kind.is_long_running = spec.is_long_running;
     kind.is_gang = spec.is_gang;
+    kind.estimated_ms = spec.estimated_ms;
     return kind;
 }
 
@@ -123,6 +124,7 @@
     // An upstream with room that the task may not use, or with a gain that is a little too low, may be used
     // in the next decision although it has not changed.
     const bool may_fit_soon = !search_.candidates.empty() || search_.has_low_gains;
+    wanted.has_held_room = search_.has_held_room;
     wanted.revision = may_fit_soon ? 0 : search_.revision;
     wanted.decision = decision_;
     wanted.searched_at = now;
@@ -158,16 +160,19 @@
     search_.candidates.clear();
     search_.chosen.reset();
     search_.has_low_gains = false;
+    search_.has_held_room = false;
     search_.next = ranking.begin();
     search_.end = ranking.end();
     const auto* known = find_unplaced(wanted);
     if (known == nullptr || known->revision == 0) {
         return;
     }
-    // Only upstreams that have changed since an earlier search can have room.
+    // Only upstreams that have changed since an earlier search, and those whose room was held for a job that
+    // ranks after this one, can have room.
     search_.next = search_.end;
     std::vector<upstream_index::slot_number> changed;
     index_.collect_changed_since(known->revision, changed);
+    add_held_slots(changed);
     for (const auto slot : changed) {
         add_candidate(slot, now);
     }
@@ -241,6 +246,10 @@
     if (!has_room_for(upstream, terms)) {
         return std::nullopt;
     }
+    if (is_room_held(upstream, terms, now)) {
+        search_.has_held_room = true;
+        return std::nullopt;
+    }
     double gain = 1.0;
     if (terms.kind == placement_kind::best_effort) {
         const auto use = get_best_effort_use(upstream, terms);
