Follow the changes of upstreams while their list is written

Cause: the watch of upstreams waited for the write of the list of known upstreams. The list of a fleet of 3,000 upstreams takes long to write, and a change that marks an upstream as leaving was read only after it. Change: the list is kept by a coroutine of its own, and an upstream that has moved since the list was made is not taken as recorded.

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -154,6 +154,7 @@
     }
     spawn("follow_jobs", follow_jobs(jobs_revision_));
     spawn("follow_upstreams", follow_upstreams(registry_revision_));
+    spawn("keep_upstream_list", keep_upstream_list());
     if (limits_.evacuation_bound > milliseconds(0)) {
         spawn("follow_evacuations", follow_evacuations(evacuations_revision_));
     }
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -103,6 +103,9 @@
     awaitable<bool> retry_load(awaitable<bool> (cell_owner::*load_part)());
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
+    // Writes the list of upstreams whenever it is outdated. Apart from the watch: the list of a large fleet
+    // takes seconds to write on a slow link, and an upstream that leaves must not get tasks meanwhile.
+    awaitable<void> keep_upstream_list();
     awaitable<void> follow_evacuations(std::uint64_t revision);
     // Applies a read that contains all evacuations that the store had accepted at a time, given on both
     // clocks.
@@ -235,9 +238,10 @@
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
     std::uint64_t evacuations_revision_ = 0;
-    // Notified when a change may allow a scheduling decision, when progress waits to be written, and when a
-    // commit has been written.
+    // Notified when a change may allow a scheduling decision, when the upstreams have changed, when progress
+    // waits to be written, and when a commit has been written.
     async_signal wake_;
+    async_signal upstreams_changed_;
     async_signal progress_;
     async_signal committed_;
 };
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -144,14 +144,11 @@
 }
 
 awaitable<void> cell_owner::follow_upstreams(std::uint64_t revision) {
-    constexpr std::int64_t normal_wait_ms = 2000;
-    // What the next owner has to know of earlier ones is written soon after it changes.
-    constexpr std::int64_t takeover_wait_ms = 250;
+    constexpr std::int64_t wait_ms = 2000;
     constexpr milliseconds margin{700};
     // Registry entries change frequently; changes within this time are read with one call.
     constexpr milliseconds batch_window{300};
     while (!is_over()) {
-        const auto wait_ms = has_changing_notes() ? takeover_wait_ms : normal_wait_ms;
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
         auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
         bool is_listing = false;
@@ -165,14 +162,27 @@
         }
         revision = changes->revision;
         apply_upstream_changes(*changes, is_listing);
+        upstreams_changed_.notify_all();
+        wake_.notify_all();
+        if (!changes->changes.empty()) {
+            co_await wait_until(std::chrono::steady_clock::now() + batch_window);
+        }
+    }
+}
+
+awaitable<void> cell_owner::keep_upstream_list() {
+    constexpr milliseconds normal_interval{2000};
+    // What the next owner has to know of earlier ones is written soon after it changes.
+    constexpr milliseconds takeover_interval{250};
+    while (!is_over()) {
+        const auto seen = upstreams_changed_.get_count();
         update_notes();
         while (is_recorded_list_outdated() && !is_over() && !co_await write_known_upstreams()) {
             co_await wait_until(std::chrono::steady_clock::now() + store_retry_delay);
         }
         wake_.notify_all();
-        if (!changes->changes.empty()) {
-            co_await wait_until(std::chrono::steady_clock::now() + batch_window);
-        }
+        const auto interval = has_changing_notes() ? takeover_interval : normal_interval;
+        co_await upstreams_changed_.wait(seen, std::chrono::steady_clock::now() + interval);
     }
 }
 
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -152,7 +152,9 @@
 void cell_scheduler::record_upstreams(const std::vector<upstream_entry>& entries) {
     for (const auto& entry : entries) {
         const auto found = upstreams_.find(entry.id);
-        if (found != upstreams_.end() && !found->second.is_recorded) {
+        // An upstream that has moved since the list was made is not in it at its present address.
+        const bool is_same = found != upstreams_.end() && found->second.entry.address == entry.address;
+        if (is_same && !found->second.is_recorded) {
             found->second.is_recorded = true;
             mark_changed(found->second);
         }
--- a/tests/owner_fixture.cpp
+++ b/tests/owner_fixture.cpp
@@ -215,6 +215,11 @@
     return owner != nullptr && owner->is_loaded();
 }
 
+std::string owner_process::dump_state() const {
+    const auto owner = member_->get_owner();
+    return owner == nullptr ? std::string() : owner->dump_state();
+}
+
 std::size_t owner_process::count_jobs_done() const {
     const auto owner = member_->get_owner();
     if (owner == nullptr) {
--- a/tests/owner_fixture.hpp
+++ b/tests/owner_fixture.hpp
@@ -107,6 +107,9 @@
 
     bool is_loaded() const;
     memory_registry& get_registry() { return *registry_; }
+    memory_cell_store& get_store() { return *store_; }
+    // See cell_owner.
+    std::string dump_state() const;
     std::size_t get_job_count() const { return jobs_.size(); }
     std::size_t count_jobs_done() const;
 
