Repeat a search that found no room only where something may have changed

Cause: a search with a gain just below the minimum was repeated over all upstreams in each decision, and each changed upstream was evaluated for each waiting kind, although it had no unused processors.

Change: a kind remembers the upstreams whose gain is nearly sufficient; they are evaluated again when the least gain has fallen far enough, and all upstreams every 100 ms. Best-effort tasks skip upstreams whose unused processors, computed at most 100 ms ago and since their last change, are too few. Kinds with a required label or a limit of tasks per upstream are remembered as well.

--- a/experiment/main.cpp
+++ b/experiment/main.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "experiment/cell_bench.hpp"
+#include "experiment/contended_cell.hpp"
 #include "experiment/journal_bench.hpp"
 #include "experiment/ledger_bench.hpp"
 #include "experiment/member_bench.hpp"
@@ -85,6 +86,24 @@
                            .decisions = parsed["decisions"].as<std::size_t>()});
 }
 
+int run_contention_command(int argc, char** argv) {
+    cxxopts::Options options("jacinthvane_experiment contention",
+                             "Measures the decisions of a cell whose best-effort tasks fit nowhere");
+    options.add_options()("upstreams", "Number of upstreams",
+                          cxxopts::value<std::size_t>()->default_value("490"))(
+        "jobs", "Best-effort jobs that begin in each second",
+        cxxopts::value<std::size_t>()->default_value("30"))(
+        "sizes", "Sizes of best-effort tasks of each image",
+        cxxopts::value<std::size_t>()->default_value("3"))("seconds", "Duration",
+                                                           cxxopts::value<int>()->default_value("20"));
+    const auto parsed = options.parse(argc, argv);
+    contention_options contention;
+    contention.upstreams = parsed["upstreams"].as<std::size_t>();
+    contention.jobs_per_second = parsed["jobs"].as<std::size_t>();
+    contention.sizes = parsed["sizes"].as<std::size_t>();
+    return run_contention_bench(contention, parsed["seconds"].as<int>());
+}
+
 std::vector<std::string> to_arguments(int argc, char** argv) {
     return {argv + 1, argv + argc};
 }
@@ -117,6 +136,7 @@
     {"member", run_member_command,
      "traffic, CPU time, memory and convergence rounds of the membership at four sizes"},
     {"cell", run_cell_command, "time of a cell's decisions and reports, without any network"},
+    {"contention", run_contention_command, "a cell's decisions while best-effort tasks fit nowhere"},
     {"owner", run_owner_command, "CPU time of a cell's owner against upstreams on loopback"},
 };
 
--- a/src/process/upstream_index.hpp
+++ b/src/process/upstream_index.hpp
@@ -60,6 +60,10 @@
     }
     // Number of the last change.
     std::uint64_t get_revision() const { return revision_; }
+    // Whether the upstream is usable and has not changed after the revision.
+    bool is_usable_since(slot_number slot, std::uint64_t revision) const {
+        return is_usable(slot) && slots_[slot].revision <= revision;
+    }
     // Appends the usable upstreams that have changed after the revision, each once.
     void collect_changed_since(std::uint64_t revision, std::vector<slot_number>& changed) const;
 
--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -148,6 +148,7 @@
     auto& view = best_effort_views_[upstream.slot];
     if (view.decision != decision_) {
         view.decision = decision_;
+        view.computed_at = now;
         view.budgets = get_serving_budgets(upstream, now + placement_horizon);
         view.tasks = get_best_effort_tasks(upstream);
         view.loads = measure_interference(tail_model_, view.budgets, view.tasks);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -271,6 +271,12 @@
         // The lowest gain for which a best-effort task starts; see get_min_gain.
         double min_gain = 0;
     };
+    // A useful gain that an upstream offers a kind of best-effort task, but less than get_min_gain. The task
+    // may start there once the least gain has fallen this far, although the upstream has not changed.
+    struct low_gain {
+        upstream_index::slot_number slot = 0;
+        double gain = 0;
+    };
     // A search for the cheapest upstreams for the tasks of one step, in ascending order of cost. It evaluates
     // an upstream only when none of those evaluated before can be cheaper.
     struct step_search {
@@ -286,8 +292,9 @@
         std::vector<candidate> candidates;
         // The upstream of the last task, whose cost has changed with it.
         std::optional<upstream_index::slot_number> chosen;
-        // An upstream was not eligible for its gain only, so that it may be soon without a change.
-        bool has_low_gains = false;
+        time_point complete_at;
+        // Upstreams that are not eligible for their gain only.
+        std::vector<low_gain> low_gains;
     };
     // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
@@ -298,6 +305,7 @@
     struct best_effort_view {
         // The decision that it was computed for; 0 if it has to be computed again.
         std::uint64_t decision = 0;
+        time_point computed_at;
         std::vector<serving_budget> budgets;
         std::vector<serving_load> loads;
         std::vector<best_effort_use> tasks;
@@ -330,16 +338,24 @@
         // An upstream that is unproven may take these where it takes no others.
         bool is_long_running = false;
         bool is_gang = false;
-        // No upstream that has not changed after this revision of the index has room.
+        std::string required_label;
+        // Set if the number of its tasks on one upstream is limited.
+        std::optional<step_ref> limited_step;
+        // No upstream that has not changed after this revision of the index has room, except for the low
+        // gains.
         std::uint64_t revision = 0;
+        std::vector<low_gain> low_gains;
         std::uint64_t decision = 0;
         time_point searched_at;
+        // When the last search that looked at all upstreams began.
+        time_point complete_at;
 
         // Whether a task of the other kind needs at least as much, so that it fits nowhere either.
         bool covers(const unplaced_kind& other) const {
             return service == other.service && is_best_effort == other.is_best_effort &&
                    is_long_running == other.is_long_running && is_gang == other.is_gang &&
-                   image == other.image && size.is_within(other.size);
+                   image == other.image && required_label == other.required_label &&
+                   limited_step == other.limited_step && size.is_within(other.size);
         }
     };
 
@@ -528,6 +544,10 @@
     void resume_search(const job_record& job, const step_ref& step, const unplaced_kind& wanted,
                        time_point now);
     void begin_search(step_terms terms, const unplaced_kind& wanted, time_point now);
+    // Begins the search among the upstreams that can have room since an earlier one.
+    void begin_repeated_search(const unplaced_kind& known, time_point now);
+    // Whether the unused processors of the upstream, as last computed, are too few for a best-effort task.
+    bool is_known_full(upstream_index::slot_number slot, const step_terms& terms, time_point now) const;
     // Evaluates the upstream for the search.
     void add_candidate(upstream_index::slot_number slot, time_point now);
     // Evaluates further upstreams until no other one can be cheaper than the first candidate.
@@ -536,7 +556,7 @@
     // the task.
     upstream_ledger* choose_candidate(const task_record& task, const step_tickets* tickets, time_point now);
     // The kind of the task, as it is recorded if it fits nowhere.
-    unplaced_kind make_kind(const job_record& job, const step_spec& spec) const;
+    unplaced_kind make_kind(const job_record& job, const step_ref& step) const;
     // The last search that found no room for such a task.
     const unplaced_kind* find_unplaced(const unplaced_kind& wanted) const;
     void record_unplaced(unplaced_kind wanted, time_point now);
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -14,6 +14,11 @@
 constexpr double avoided_cost = 2.0;
 // Cost of an upstream that has not accepted a start yet, for tasks that should not be the first ones there.
 constexpr double unproven_cost = 2.0;
+// How long the unused processors of an upstream that has not changed are taken as known. They depend on the
+// load of its latency-critical tasks, which reports of other upstreams may show.
+constexpr std::chrono::milliseconds max_view_age{100};
+// How often all upstreams are searched again for a kind of best-effort task whose gain is nearly sufficient.
+constexpr std::chrono::milliseconds low_gain_search_interval{100};
 
 bool is_avoided(const task_record& task, const upstream_id& upstream) {
     return std::find(task.avoided.begin(), task.avoided.end(), upstream) != task.avoided.end();
@@ -72,8 +77,7 @@
                                                                          const step_ref& ref,
                                                                          const task_record& task,
                                                                          time_point now) {
-    const auto& spec = job.job->spec.steps[ref.step];
-    const auto wanted = make_kind(job, spec);
+    const auto wanted = make_kind(job, ref);
     if (const auto* known = find_unplaced(wanted); known != nullptr && known->decision == decision_) {
         return std::nullopt;
     }
@@ -88,7 +92,7 @@
     auto* upstream = choose_candidate(task, needs_ticket ? &tickets->second : nullptr, now);
     if (upstream == nullptr) {
         const bool is_suspect = !task.crashed_runs.empty();
-        if (spec.required_label.empty() && spec.max_per_upstream == 0 && !needs_ticket && !is_suspect) {
+        if (!needs_ticket && !is_suspect) {
             record_unplaced(wanted, now);
         }
         return std::nullopt;
@@ -96,7 +100,8 @@
     return placement{upstream, needs_ticket ? tickets->second.tickets.at(upstream->entry.id) : std::string()};
 }
 
-cell_scheduler::unplaced_kind cell_scheduler::make_kind(const job_record& job, const step_spec& spec) const {
+cell_scheduler::unplaced_kind cell_scheduler::make_kind(const job_record& job, const step_ref& step) const {
+    const auto& spec = job.job->spec.steps[step.step];
     unplaced_kind kind;
     kind.service = get_service(job);
     kind.size = spec.size;
@@ -104,6 +109,10 @@
     kind.is_best_effort = spec.is_best_effort;
     kind.is_long_running = spec.is_long_running;
     kind.is_gang = spec.is_gang;
+    kind.required_label = spec.required_label;
+    if (spec.max_per_upstream > 0) {
+        kind.limited_step = step;
+    }
     return kind;
 }
 
@@ -120,12 +129,13 @@
 }
 
 void cell_scheduler::record_unplaced(unplaced_kind wanted, time_point now) {
-    // An upstream with room that the task may not use, or with a gain that is a little too low, may be used
-    // in the next decision although it has not changed.
-    const bool may_fit_soon = !search_.candidates.empty() || search_.has_low_gains;
-    wanted.revision = may_fit_soon ? 0 : search_.revision;
+    // An upstream with room that the task may not use may be used in the next decision although it has not
+    // changed.
+    wanted.revision = search_.candidates.empty() ? search_.revision : 0;
+    wanted.low_gains = search_.low_gains;
     wanted.decision = decision_;
     wanted.searched_at = now;
+    wanted.complete_at = search_.complete_at;
     std::erase_if(unplaced_, [&](const unplaced_kind& kind) { return wanted.covers(kind); });
     unplaced_.push_back(std::move(wanted));
 }
@@ -157,23 +167,54 @@
     search_.revision = index_.get_revision();
     search_.candidates.clear();
     search_.chosen.reset();
-    search_.has_low_gains = false;
+    search_.low_gains.clear();
+    search_.complete_at = now;
     search_.next = ranking.begin();
     search_.end = ranking.end();
     const auto* known = find_unplaced(wanted);
     if (known == nullptr || known->revision == 0) {
         return;
     }
-    // Only upstreams that have changed since an earlier search can have room.
+    if (known->low_gains.empty() || now - known->complete_at < low_gain_search_interval) {
+        begin_repeated_search(*known, now);
+    }
+}
+
+void cell_scheduler::begin_repeated_search(const unplaced_kind& known, time_point now) {
     search_.next = search_.end;
+    search_.complete_at = known.complete_at;
     std::vector<upstream_index::slot_number> changed;
-    index_.collect_changed_since(known->revision, changed);
+    index_.collect_changed_since(known.revision, changed);
     for (const auto slot : changed) {
         add_candidate(slot, now);
     }
+    for (const auto& low : known.low_gains) {
+        if (!index_.is_usable_since(low.slot, known.revision)) {
+            continue;
+        }
+        if (low.gain >= search_.terms.min_gain) {
+            add_candidate(low.slot, now);
+        } else {
+            search_.low_gains.push_back(low);
+        }
+    }
+}
+
+bool cell_scheduler::is_known_full(upstream_index::slot_number slot, const step_terms& terms,
+                                   time_point now) const {
+    const auto& view = best_effort_views_[slot];
+    if (terms.kind != placement_kind::best_effort || view.decision == 0 ||
+        now - view.computed_at > max_view_age) {
+        return false;
+    }
+    const auto use = get_best_effort_use(index_.get_upstream(slot), terms);
+    return view.free_share - view.planned_use < min_useful_best_effort_gain * use.share;
 }
 
 void cell_scheduler::add_candidate(upstream_index::slot_number slot, time_point now) {
+    if (is_known_full(slot, search_.terms, now)) {
+        return;
+    }
     if (const auto cost = evaluate(index_.get_upstream(slot), search_.terms, now)) {
         search_.candidates.push_back({*cost, slot});
         std::push_heap(search_.candidates.begin(), search_.candidates.end(), std::greater<>());
@@ -250,7 +291,9 @@
         gain = get_best_effort_gain(upstream, use, now);
         record_gain(use.image, gain, now);
         if (gain < terms.min_gain) {
-            search_.has_low_gains = search_.has_low_gains || gain >= min_useful_best_effort_gain;
+            if (gain >= min_useful_best_effort_gain) {
+                search_.low_gains.push_back({upstream.slot, gain});
+            }
             return std::nullopt;
         }
     }
