--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -14,6 +14,10 @@
 constexpr std::chrono::milliseconds proof_time{5000};
 // Progress is reported in whole percent, so less of it says little about the speed of a run.
 constexpr std::int32_t min_conclusive_percent = 10;
+constexpr std::int32_t full_percent = 100;
+// The rate of a run is known this long after the first report of its progress. Upstreams report every 0.3 s,
+// and the tasks that share headroom take about 2 s.
+constexpr std::chrono::milliseconds min_rate_time{200};
 
 // Estimates the processors that a committed run uses, in thousandths of a processor.
 std::int64_t estimate_used_milli(const run_record& run) {
@@ -31,6 +35,24 @@
     expected_end = accepted_at + (now - accepted_at) * 100 / percent;
 }
 
+void run_record::record_percent(std::int32_t reported, time_point now) {
+    if (percent < 0) {
+        first_percent = reported;
+        first_percent_at = now;
+    }
+    percent = reported;
+}
+
+std::optional<std::chrono::milliseconds> run_record::estimate_remaining_time(time_point now) const {
+    if (percent < 0 || now - first_percent_at < min_rate_time) {
+        return std::nullopt;
+    }
+    // A run without any progress counts as one that is about to complete its first percent.
+    const auto gained = std::max(percent - first_percent, 1);
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - first_percent_at);
+    return elapsed * std::max(full_percent - percent, 0) / gained;
+}
+
 void run_record::expect_in_next_incarnation() {
     is_incarnation_unknown = true;
     is_listed = false;
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -79,6 +81,9 @@
     std::int64_t absent_clock_ms = 0;
     // Progress in the last report, in percent; -1 before the first report.
     std::int32_t percent = -1;
+    // Progress in the first report, and when it arrived. The run may have begun at a checkpoint.
+    std::int32_t first_percent = -1;
+    time_point first_percent_at;
     // Clock of the upstream at the report in which the progress last changed.
     std::int64_t percent_changed_clock_ms = 0;
     std::int64_t load = 0;
@@ -109,6 +114,10 @@
     }
     // Derives the expected end from the progress that a report of this time shows.
     void update_expected_end(time_point now);
+    // Records the progress that a report of this time shows.
+    void record_percent(std::int32_t reported, time_point now);
+    // Returns how long the run will still take at its rate so far; nothing if too little is known of it.
+    std::optional<std::chrono::milliseconds> estimate_remaining_time(time_point now) const;
     // Forgets what the previous incarnation reported about the run, and its clock.
     void expect_in_next_incarnation();
 };
