Divide the headroom of an upstream by the urgency of its tasks

All best-effort tasks that interfere with a latency-critical task got the same CPU limit: the task that its step waits for got no more than tasks that are ahead, and a late job kept its share beside jobs in time.

Each budget allows the same headroom cost as before, and equal weights give the same plan. Weights are computed only where something is limited, and ignored while tasks request more processors than are free, where the cost depends on all limits.

--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -463,6 +463,13 @@
     void update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now);
     // Sends the planned CPU limits where they differ enough from the current ones.
     void update_cpu_limits(upstream_ledger& upstream, time_point now);
+    // Plans CPU limits that divide the headroom by the urgency of the best-effort tasks; see
+    // task_urgency.hpp.
+    std::vector<double> plan_urgent_first(const upstream_ledger& upstream,
+                                          const std::vector<serving_budget>& budgets,
+                                          const std::vector<best_effort_use>& best_effort_tasks,
+                                          time_point now);
+    double get_urgency_of(const run_key& key, const run_record& run, time_point now);
     std::int32_t clamp_cpu_limit(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
                                  std::int32_t planned, time_point now) const;
     void order_cpu_limit(upstream_ledger& upstream, const run_key& key, run_record& run,
--- /dev/null
+++ b/tests/urgency_cell_test.cpp
@@ -0,0 +1,102 @@
+#include <chrono>
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/cell_fixture.hpp"
+
+using namespace jacinthvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// One upstream with a latency-critical task, and two best-effort tasks next to it: one of a job that will be
+// late, one of a job that can be in time. Each costs 0.3125 of headroom.
+struct shared_upstream {
+    shared_upstream() : cell(1) {
+        auto serving = cell_fixture::make_step(1);
+        serving.is_long_running = true;
+        serving.image = "serving";
+        serving.target_tail_ms = 50;
+        cell.add_job("serving", cell_fixture::make_job({serving}));
+        tail_snapshot learned;
+        learned.images = {"serving", "best-effort"};
+        learned.weights = {{0, 10}, {5000, 10}, {0, 10}, {0, 10}};
+        cell.scheduler->apply_tail_snapshot(learned);
+        cell.run_for(seconds(2));
+        report.clock_ms = 10000;
+        report.boot_unix_ms = cell.entries[0].boot_unix_ms;
+        report.running = {{{job_id("serving"), 0, 0, 0}, 1, "", 100, 20}};
+        for (int i = 0; i < 10; ++i) {
+            advance(milliseconds(600));
+        }
+        add_best_effort_job("late", 0);
+        add_best_effort_job("in-time", 60000);
+        for (int i = 0; i < 4; ++i) {
+            advance(milliseconds(300));
+        }
+    }
+
+    void add_best_effort_job(const std::string& id, std::int64_t objective_ms) {
+        auto step = cell_fixture::make_step(1);
+        step.is_best_effort = true;
+        step.image = "best-effort";
+        step.estimated_ms = 5000;
+        auto job = cell_fixture::make_job({step});
+        job.rules.objective_ms = objective_ms;
+        job.accepted_unix_ms = cell.read_clock().unix_ms;
+        cell.add_job(id, job);
+    }
+
+    void advance(milliseconds span) {
+        cell.clock->advance(span);
+        report.clock_ms += span.count();
+        for (std::size_t i = 1; i < report.running.size(); ++i) {
+            report.running[i].percent += 2;
+        }
+        cell.scheduler->apply_report(cell.entries[0].id, report, cell.read_clock());
+        for (const auto& order : cell.scheduler->decide(cell.read_clock(), true).orders) {
+            cell.scheduler->apply_order_response(order, {order_result::accepted, report.clock_ms},
+                                                 cell.read_clock());
+            if (const auto* start = std::get_if<start_order>(&order)) {
+                report.running.push_back({start->task, start->run, "", 0, 1000});
+            }
+        }
+    }
+
+    std::int32_t get_cpu_limit(const std::string& id) const {
+        const auto* upstream = cell.scheduler->find_upstream(cell.entries[0].id);
+        for (const auto& [key, run] : upstream->runs) {
+            if (key.first.job.get() == id) {
+                return run.cpu_limit_percent;
+            }
+        }
+        return -1;
+    }
+
+    cell_fixture cell;
+    upstream_report report;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(urgency_cell)
+
+// Without a limit, late jobs run at full speed. When the headroom falls, the task of the job that can be in
+// time keeps more of its speed, the other one still runs, and both together use what the budget allows.
+BOOST_AUTO_TEST_CASE(late_jobs_give_way_when_headroom_falls) {
+    shared_upstream shared;
+    BOOST_TEST(shared.get_cpu_limit("late") == 100);
+    BOOST_TEST(shared.get_cpu_limit("in-time") == 100);
+    shared.report.running[0].load = 46;
+    for (int i = 0; i < 6; ++i) {
+        shared.advance(milliseconds(300));
+        if (shared.get_cpu_limit("late") < 100) {
+            break;
+        }
+    }
+    BOOST_TEST(shared.get_cpu_limit("in-time") > shared.get_cpu_limit("late"));
+    BOOST_TEST(shared.get_cpu_limit("late") > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
