--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -187,18 +187,16 @@
         begin_stop(upstream, *run, now);
         return;
     }
-    if (response.result == order_result::withdrawn && is_evacuated(upstream)) {
-        // Says nothing about the upstream, and the task may start elsewhere at once.
-        release_run(upstream, {order.task, order.run}, now);
-        return;
-    }
     const bool is_local_cause =
         response.result == order_result::delayed || response.result == order_result::withdrawn;
-    // A delayed order may have waited behind others that the upstream leaves unanswered.
-    if (!is_local_cause || upstream.starts.is_failing()) {
+    // A delayed order may have waited behind others that the upstream leaves unanswered. An evacuation says
+    // nothing about the upstream.
+    if (!is_local_cause || (upstream.starts.is_failing() && !is_evacuated(upstream))) {
         avoid_upstream(order.task, order.upstream);
     }
-    release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
+    // The task of an order that was withdrawn may start elsewhere at once.
+    const bool is_withdrawn = response.result == order_result::withdrawn;
+    release_run(upstream, {order.task, order.run}, is_withdrawn ? now : now + order_repeat_delay);
 }
 
 void cell_scheduler::record_start_health(upstream_ledger& upstream, const order_response& response,
--- a/tests/order_grounds_test.cpp
+++ b/tests/order_grounds_test.cpp
@@ -104,6 +104,25 @@
     BOOST_TEST(!cell.scheduler->is_start_pending(start, now));
 }
 
+// Guards against a task that waits for the repeat delay of an order that was never sent, although another
+// upstream has room: the next decision starts it there.
+BOOST_AUTO_TEST_CASE(the_task_of_a_withdrawn_start_may_start_elsewhere_at_once) {
+    cell_fixture cell(2);
+    cell.run_for(milliseconds(100));
+    cell.add_job("job", make_job(false));
+    const auto first = cell.scheduler->decide(cell.read_clock(), true);
+    BOOST_REQUIRE(first.orders.size() == 1U);
+    const auto& start = std::get<start_order>(first.orders.front());
+    auto entry = find_entry(cell, start.upstream);
+    entry.is_leaving = true;
+    cell.scheduler->list_upstream(entry, cell.clock->get_now());
+    cell.scheduler->apply_order_response(first.orders.front(), {order_result::withdrawn, 0},
+                                         cell.read_clock());
+    const auto second = cell.scheduler->decide(cell.read_clock(), true);
+    BOOST_REQUIRE(second.orders.size() == 1U);
+    BOOST_TEST(std::get<start_order>(second.orders.front()).upstream.get() != start.upstream.get());
+}
+
 // Guards against a start that waited until its location was durable, while its upstream lost the label that
 // the task requires.
 BOOST_AUTO_TEST_CASE(a_start_that_waited_for_its_record_is_checked_again) {
