Bound what remote sides can make a process hold

Cause: http_server and client_connection read into buffers without a bound, and the library keeps the trailers of a chunked message, and the extensions of a chunk, there until their end arrives. There was no limit over all connections, and messages were decoded whatever their number of values.

Change: server_connection reads each request into a bounded buffer, within one deadline from its first byte. connection_budget limits the memory and the connections of all clients of a process over its four ports (25 % of Limits.MemoryMb, half of Limits.MaxFds); when they are exhausted, idle connections are evicted, then the slowest, with 503 where the request will never run. No port gets more than three quarters. response_budget limits the memory of all responses that a process reads (37 %); the largest one ends. Each http_client has a limit of one response. parse_json_object refuses messages with more than 200,000 values, and is used for refusals of upstreams. rejection_log counts each kind of rejection and logs it once in five seconds. An exception ends neither the accept loop nor the event loop.

Not run under the sanitizers.

--- a/src/connection/client_connection.cpp
+++ b/src/connection/client_connection.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http.hpp>
@@ -18,11 +20,13 @@
 
 namespace {
 
-constexpr std::size_t max_response_bytes = 64U << 20U;
 // A read takes no more bytes than the buffer has room for, and each read costs a turn of the event loop. The
 // first amount holds most responses with their header, the second bounds the buffer for long bodies.
 constexpr std::size_t initial_buffer_bytes = 4U << 10U;
 constexpr std::size_t max_buffer_bytes = 64U << 10U;
+// Responses that hold less are not accounted for: an owner reads thousands of small ones a second, and each
+// change of the budget takes its lock. 490 of them hold 4 MB.
+constexpr std::size_t uncounted_bytes = 8U << 10U;
 // How long a response that has begun to arrive is still read after the deadline, and again after each such
 // time in which more of it has arrived.
 constexpr std::chrono::milliseconds late_read_grace{1000};
@@ -101,6 +105,19 @@
     exchange_timer& operator=(const exchange_timer&) = delete;
 
     void set_connected() { state_->is_connected = true; }
+
+    // Returns false if the response has to end, since it is the largest one when the memory is exhausted.
+    bool charge(const std::shared_ptr<response_budget>& budget, std::size_t bytes) {
+        if (!share_) {
+            share_ = std::make_unique<response_budget::share>(budget, [weak_state = std::weak_ptr(state_)] {
+                if (const auto state = weak_state.lock()) {
+                    asio::post(state->timer.get_executor(), [state] { close(*state); });
+                }
+            });
+        }
+        return share_->resize(bytes);
+    }
+
     void add_received(std::size_t bytes) { state_->received_bytes += bytes; }
     std::size_t get_received_bytes() const { return state_->received_bytes; }
     bool has_expired() const { return state_->has_expired; }
@@ -147,9 +164,15 @@
         }
         state->has_expired = true;
         state->is_own_delay = has_unhandled_data;
-        // An operation that begins after a mere cancellation would wait without a deadline.
+        close(*state);
+    }
+
+    // An operation that begins after a mere cancellation would wait without a deadline.
+    static void close(shared_state& state) {
         boost::system::error_code error;
-        state->socket.close(error);
+        if (!state.is_finished) {
+            state.socket.close(error);
+        }
     }
 
     // Whether the other side has done its part of the current operation: bytes of the response wait in the
@@ -164,9 +187,12 @@
     }
 
     std::shared_ptr<shared_state> state_;
+    // What the response holds; null while it is small.
+    std::unique_ptr<response_budget::share> share_;
 };
 
-client_connection::client_connection(asio::io_context& context) : socket_(context) {}
+client_connection::client_connection(asio::io_context& context, const response_limits& limits)
+    : limits_(limits), socket_(context), buffer_(max_buffer_bytes + initial_buffer_bytes) {}
 
 bool client_connection::is_reusable() const {
     boost::system::error_code error;
@@ -198,7 +224,12 @@
             co_return error;
         }
         const auto missing = parser.is_header_done() ? parser.content_length_remaining().value_or(0) : 0;
-        const auto room = std::clamp<std::uint64_t>(missing, initial_buffer_bytes, max_buffer_bytes);
+        const auto wanted = std::clamp<std::uint64_t>(missing, initial_buffer_bytes, max_buffer_bytes);
+        const auto room = std::min<std::uint64_t>(wanted, buffer_.max_size() - buffer_.size());
+        if (room == 0) {
+            // The trailers, or an extension of a chunk, do not fit.
+            co_return http::make_error_code(http::error::buffer_overflow);
+        }
         const auto received = socket_.read_some(buffer_.prepare(room), error);
         if (error == asio::error::would_block) {
             error.clear();
@@ -220,10 +251,27 @@
             co_return error;
         }
         error.clear();
+        if (!charge(parser, timer)) {
+            co_return asio::error::make_error_code(asio::error::no_memory);
+        }
     }
     co_return error;
 }
 
+bool client_connection::charge(const response_parser& parser, exchange_timer& timer) {
+    // Half of the capacity of a body that grows by doubling is unused memory; the part of a body that was
+    // announced and has not arrived is none.
+    const auto& body = parser.get().body();
+    const auto held = std::min(body.capacity(), 2 * body.size()) + buffer_.capacity();
+    return !limits_.budget || held <= uncounted_bytes || timer.charge(limits_.budget, held);
+}
+
+void client_connection::record(rejection kind) {
+    if (limits_.budget) {
+        limits_.budget->get_log()->record(kind, std::chrono::steady_clock::now());
+    }
+}
+
 awaitable<absl::StatusOr<http_response>> client_connection::exchange(
     asio::ip::tcp::endpoint endpoint, std::string address, http_request request, time_point deadline,
     time_point write_before, late_response late) {
@@ -250,10 +298,14 @@
     error = co_await write_request(std::move(text));
     response_parser parser;
     parser.eager(true);
-    parser.body_limit(max_response_bytes);
+    parser.body_limit(limits_.max_body_bytes);
     if (!error) {
         error = co_await read_response(parser, timer);
     }
+    if (error == http::error::body_limit || error == http::error::buffer_overflow ||
+        error == http::error::header_limit) {
+        record(rejection::response_too_large);
+    }
     if (error || timer.has_expired()) {
         const auto kind = timer.is_own_delay() ? error_kind::call_delayed : error_kind::upstream_lost;
         const auto reason = timer.has_expired() ? std::string("the deadline passed") : error.message();
@@ -263,6 +315,10 @@
     auto received = parser.release();
     // Bytes after the response belong to no request of this client.
     is_open_ = received.keep_alive() && buffer_.size() == 0;
+    if (buffer_.size() == 0 && buffer_.capacity() > uncounted_bytes) {
+        // An idle connection keeps no memory that is not accounted for.
+        buffer_.shrink_to_fit();
+    }
     co_return from_beast(std::move(received));
 }
 
--- a/src/connection/client_connection.hpp
+++ b/src/connection/client_connection.hpp
@@ -11,6 +11,7 @@
 #include "connection/http_client.hpp"
 #include "connection/http_message.hpp"
 #include "process/clock.hpp"
+#include "process/response_budget.hpp"
 
 namespace jacinthvane {
 
@@ -19,7 +20,7 @@
 // turns of the event loop.
 class client_connection {
 public:
-    explicit client_connection(asio::io_context& context);
+    client_connection(asio::io_context& context, const response_limits& limits);
 
     // Connects if necessary, sends the request and reads its response. See http_client::fetch.
     awaitable<absl::StatusOr<http_response>> exchange(asio::ip::tcp::endpoint endpoint, std::string address,
@@ -40,7 +41,11 @@
 
     awaitable<boost::system::error_code> write_request(std::string text);
     awaitable<boost::system::error_code> read_response(response_parser& parser, exchange_timer& timer);
+    // Accounts for what the response holds. Returns false if it has to end.
+    bool charge(const response_parser& parser, exchange_timer& timer);
+    void record(rejection kind);
 
+    const response_limits limits_;
     asio::ip::tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
     time_point idle_since_;
--- a/src/connection/http_client.cpp
+++ b/src/connection/http_client.cpp
@@ -24,8 +24,9 @@
     std::shared_ptr<async_signal> released = std::make_shared<async_signal>();
 };
 
-http_client::http_client(asio::io_context& context, std::size_t max_connections_per_address)
-    : context_(context), max_connections_(max_connections_per_address) {}
+http_client::http_client(asio::io_context& context, std::size_t max_connections_per_address,
+                         response_limits responses)
+    : context_(context), max_connections_(max_connections_per_address), responses_(std::move(responses)) {}
 
 http_client::~http_client() = default;
 
@@ -67,7 +68,7 @@
             if (pool.in_use < max_connections_) {
                 ++pool.in_use;
                 if (pool.idle.empty()) {
-                    co_return std::make_unique<client_connection>(context_);
+                    co_return std::make_unique<client_connection>(context_, responses_);
                 }
                 auto connection = std::move(pool.idle.back());
                 pool.idle.pop_back();
--- a/src/connection/http_client.hpp
+++ b/src/connection/http_client.hpp
@@ -13,6 +13,7 @@
 #include "connection/http_message.hpp"
 #include "process/clock.hpp"
 #include "process/ordered_mutex.hpp"
+#include "process/response_budget.hpp"
 
 namespace jacinthvane {
 
@@ -44,10 +45,13 @@
 // Sends HTTP/1.1 requests over persistent connections, with a maximum number of connections per address. A
 // connection that fails or exceeds a deadline is closed and never reused, so an unresponsive connection
 // affects only one call. A response that has begun to arrive when the deadline passes is still read for a
-// short while, since a busy process would otherwise discard responses and send the same requests again.
+// short while, since a busy process would otherwise discard responses and send the same requests again. A
+// response that exceeds its limit, or that has to end because the memory of all responses is exhausted,
+// counts as lost.
 class http_client {
 public:
-    http_client(asio::io_context& context, std::size_t max_connections_per_address);
+    http_client(asio::io_context& context, std::size_t max_connections_per_address,
+                response_limits responses = {});
     ~http_client();
 
     http_client(const http_client&) = delete;
@@ -75,6 +79,7 @@
 
     asio::io_context& context_;
     const std::size_t max_connections_;
+    const response_limits responses_;
     ordered_mutex mutex_{lock_rank::connections};
     std::map<std::string, address_pool> pools_;
 };
--- a/src/connection/http_server.cpp
+++ b/src/connection/http_server.cpp
@@ -1,76 +1,63 @@
 #include "connection/http_server.hpp"
 
 #include <exception>
-#include <optional>
 #include <utility>
+#include <variant>
 
 #include <glog/logging.h>
 #include <boost/asio/post.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 #include "connection/endpoint.hpp"
+#include "connection/server_connection.hpp"
 #include "connection/spawn_task.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane {
 
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-
 namespace {
 
 constexpr std::chrono::milliseconds accept_retry_delay{50};
 
-http_request from_beast(http::request<http::string_body>&& message) {
-    http_request request;
-    request.method = std::string(message.method_string());
-    request.target = std::string(message.target());
-    for (const auto& field : message) {
-        request.headers.emplace(std::string(field.name_string()), std::string(field.value()));
+std::string describe(const std::exception_ptr& failure) {
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception& error) {
+        return error.what();
+    } catch (...) {
+        return "unknown exception";
     }
-    request.body = std::move(message.body());
-    return request;
-}
-
-http::response<http::string_body> to_beast(http_response&& response, bool keep_alive) {
-    http::response<http::string_body> message;
-    message.version(11);
-    message.result(static_cast<unsigned>(response.status));
-    for (const auto& [name, value] : response.headers) {
-        message.set(name, value);
-    }
-    message.body() = std::move(response.body);
-    message.keep_alive(keep_alive);
-    message.prepare_payload();
-    return message;
 }
 
-http_response make_parse_failure(const boost::system::error_code& error) {
-    const bool is_too_large = error == http::error::body_limit;
-    const auto& error_info =
-        get_error_mapping(is_too_large ? error_kind::body_too_large : error_kind::bad_request);
-    http_response response;
-    response.status = error_info.http_status;
-    response.headers["Content-Type"] = "application/json";
-    response.headers["X-Run"] = std::string(get_name(error_info.run));
-    response.body = "{\"kind\":\"" + std::string(error_info.name) +
-                    "\",\"message\":\"cannot read the request: " + error.message() +
-                    "\",\"run\":\"not-run\",\"retry_after_ms\":0}\n";
-    return response;
-}
+}  // namespace
 
-bool is_parse_failure(const boost::system::error_code& error) {
-    return error && error.category() == http::make_error_code(http::error::bad_method).category() &&
-           error != http::error::end_of_stream && error != http::error::partial_message;
-}
+class http_server::progress_count {
+public:
+    explicit progress_count(std::shared_ptr<shared_state> state) : state_(std::move(state)) {
+        ++state_->requests_in_progress;
+    }
+    ~progress_count() {
+        --state_->requests_in_progress;
+        state_->request_finished.notify_all();
+    }
+    progress_count(const progress_count&) = delete;
+    progress_count& operator=(const progress_count&) = delete;
 
-}  // namespace
+private:
+    std::shared_ptr<shared_state> state_;
+};
 
-http_server::http_server(asio::io_context& context, http_limits limits, handler handle)
+http_server::http_server(asio::io_context& context, http_limits limits, handler handle,
+                         std::shared_ptr<connection_budget> budget)
     : state_(std::make_shared<shared_state>(context)) {
+    if (!budget) {
+        connection_limits own_limits;
+        own_limits.max_connections = limits.max_connections;
+        budget = std::make_shared<connection_budget>(own_limits, std::make_shared<rejection_log>(nullptr));
+    }
     state_->limits = limits;
     state_->handle = std::move(handle);
+    state_->group = budget->add_group();
+    state_->budget = std::move(budget);
 }
 
 absl::Status http_server::listen(const std::string& address) {
@@ -127,97 +114,91 @@
 
 awaitable<void> http_server::accept_connections(std::shared_ptr<shared_state> state) {
     while (!state->is_stopping) {
-        boost::system::error_code error;
-        asio::ip::tcp::socket socket(asio::make_strand(state->context));
-        co_await state->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
-        if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+        std::exception_ptr failure;
+        bool is_open = true;
+        try {
+            is_open = co_await accept_connection(state);
+        } catch (...) {
+            failure = std::current_exception();
+        }
+        if (!is_open) {
             co_return;
         }
-        if (error) {
-            // Out of file descriptors: waits for some to be closed instead of failing in a tight loop.
+        if (failure) {
+            LOG(ERROR) << "event=accept_failed error=\"" << describe(failure) << "\"";
             co_await wait_until(std::chrono::steady_clock::now() + accept_retry_delay);
-            continue;
         }
-        if (state->connections >= state->limits.max_connections) {
-            continue;
-        }
-        const auto executor = socket.get_executor();
-        asio::co_spawn(executor, serve_connection(state, std::move(socket)),
-                       [](const std::exception_ptr& failure) {
-                           if (failure) {
-                               LOG(ERROR) << "event=connection_failed";
-                           }
-                       });
     }
 }
 
+awaitable<bool> http_server::accept_connection(std::shared_ptr<shared_state> state) {
+    boost::system::error_code error;
+    asio::ip::tcp::socket socket(asio::make_strand(state->context));
+    co_await state->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted || error == asio::error::bad_descriptor) {
+        co_return false;
+    }
+    if (error) {
+        // Out of file descriptors: waits for some to be closed instead of failing in a tight loop.
+        co_await wait_until(std::chrono::steady_clock::now() + accept_retry_delay);
+        co_return true;
+    }
+    const auto executor = socket.get_executor();
+    asio::co_spawn(executor, serve_connection(state, std::move(socket)),
+                   [](const std::exception_ptr& failure) {
+                       if (failure) {
+                           LOG(ERROR) << "event=connection_failed error=\"" << describe(failure) << "\"";
+                       }
+                   });
+    co_return true;
+}
+
 awaitable<void> http_server::serve_connection(std::shared_ptr<shared_state> state,
                                               asio::ip::tcp::socket socket) {
-    struct connection_count {
-        explicit connection_count(std::atomic<std::size_t>& counted) : count(counted) { ++count; }
-        ~connection_count() { --count; }
-        std::atomic<std::size_t>& count;
-    };
-    const connection_count counted(state->connections);
-    boost::system::error_code error;
-    socket.set_option(asio::ip::tcp::no_delay(true), error);
-    beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    const auto connection =
+        std::make_shared<server_connection>(std::move(socket), state->limits, state->budget);
+    if (!connection->open(state->group)) {
+        co_return;
+    }
     while (true) {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(state->limits.max_body_bytes);
-        parser.header_limit(static_cast<std::uint32_t>(state->limits.max_header_bytes));
-        stream.expires_after(buffer.size() == 0 ? state->limits.idle_timeout : state->limits.io_timeout);
-        co_await http::async_read_header(stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
-        if (!error) {
-            stream.expires_after(state->limits.io_timeout);
-            co_await http::async_read(stream, buffer, parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
-        }
-        if (error && !is_parse_failure(error)) {
+        auto result = co_await connection->read_request();
+        if (auto* rejected = std::get_if<rejected_request>(&result)) {
+            connection->reject(std::move(rejected->response));
             co_return;
         }
-        bool keep_alive = false;
-        http_response response;
-        const bool is_counted = !error;
-        if (error) {
-            response = make_parse_failure(error);
-        } else {
-            ++state->requests_in_progress;
-            keep_alive = parser.get().keep_alive();
-            stream.expires_never();
-            auto request = from_beast(parser.release());
-            std::exception_ptr failure;
-            try {
-                response = co_await state->handle(std::move(request));
-            } catch (...) {
-                failure = std::current_exception();
-            }
-            if (failure) {
-                LOG(ERROR) << "event=handler_failed";
-                response.status = get_error_mapping(error_kind::internal).http_status;
-                response.headers["X-Run"] = std::string(get_name(run_knowledge::may_have_run));
-            }
-            keep_alive = keep_alive && !state->is_stopping && !state->is_closing;
-            if (response.status == dropped_response_status) {
-                --state->requests_in_progress;
-                state->request_finished.notify_all();
-                co_return;
-            }
+        auto* received = std::get_if<received_request>(&result);
+        if (received == nullptr) {
+            co_return;
         }
-        const auto message = to_beast(std::move(response), keep_alive);
-        stream.expires_after(state->limits.io_timeout);
-        co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
-        if (is_counted) {
-            --state->requests_in_progress;
-            state->request_finished.notify_all();
+        const progress_count counted(state);
+        auto response = co_await handle_request(state, std::move(received->request));
+        if (response.status == dropped_response_status) {
+            co_return;
         }
-        if (error || !keep_alive) {
-            stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
+        const bool keep_alive = received->keep_alive && !state->is_stopping && !state->is_closing;
+        const bool is_open = co_await connection->write_response(std::move(response), keep_alive);
+        if (!is_open) {
             co_return;
         }
     }
 }
 
+awaitable<http_response> http_server::handle_request(std::shared_ptr<shared_state> state,
+                                                     http_request request) {
+    std::exception_ptr failure;
+    http_response response;
+    try {
+        response = co_await state->handle(std::move(request));
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    if (failure) {
+        LOG(ERROR) << "event=handler_failed error=\"" << describe(failure) << "\"";
+        response = http_response();
+        response.status = get_error_mapping(error_kind::internal).http_status;
+        response.headers["X-Run"] = std::string(get_name(run_knowledge::may_have_run));
+    }
+    co_return response;
+}
+
 }  // namespace jacinthvane
--- a/src/connection/http_server.hpp
+++ b/src/connection/http_server.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <atomic>
-#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -10,27 +9,22 @@
 #include "absl/status/statusor.h"
 #include "connection/asio.hpp"
 #include "connection/async_signal.hpp"
+#include "connection/http_limits.hpp"
 #include "connection/http_message.hpp"
+#include "process/connection_budget.hpp"
 
 namespace jacinthvane {
 
-// Limits that keep one slow or hostile client from degrading the service for the others.
-struct http_limits {
-    std::size_t max_body_bytes = 8U << 20U;
-    std::size_t max_header_bytes = 16U << 10U;
-    std::size_t max_connections = 4096;
-    // How long a client may take to send one request or to read one response.
-    std::chrono::milliseconds io_timeout{15000};
-    std::chrono::milliseconds idle_timeout{60000};
-};
-
 // Serves HTTP/1.1 on one listening socket. Requests of one connection are handled in order, so pipelined
-// requests get their responses in the order in which they were sent.
+// requests get their responses in the order in which they were sent. What clients can make the process hold
+// is limited for each connection, and in total by a budget that the servers of a process share.
 class http_server {
 public:
     using handler = std::function<awaitable<http_response>(http_request)>;
 
-    http_server(asio::io_context& context, http_limits limits, handler handle);
+    // Without a budget the server has one of its own.
+    http_server(asio::io_context& context, http_limits limits, handler handle,
+                std::shared_ptr<connection_budget> budget = nullptr);
 
     // Binds "address:port"; port 0 picks a free port.
     absl::Status listen(const std::string& address);
@@ -57,16 +51,23 @@
         asio::ip::tcp::acceptor acceptor;
         http_limits limits;
         handler handle;
+        std::shared_ptr<connection_budget> budget;
+        // The number of this server in the budget.
+        std::size_t group = 0;
         std::atomic<bool> is_stopping = false;
         std::atomic<bool> is_closing = false;
-        std::atomic<std::size_t> connections = 0;
         std::atomic<std::size_t> requests_in_progress = 0;
         async_signal request_finished;
     };
 
+    // Counts a request in progress until its response has been written.
+    class progress_count;
+
     static awaitable<void> accept_connections(std::shared_ptr<shared_state> state);
+    static awaitable<bool> accept_connection(std::shared_ptr<shared_state> state);
     static awaitable<void> serve_connection(std::shared_ptr<shared_state> state,
                                             asio::ip::tcp::socket socket);
+    static awaitable<http_response> handle_request(std::shared_ptr<shared_state> state, http_request request);
 
     std::shared_ptr<shared_state> state_;
 };
--- a/src/connection/json_reader.cpp
+++ b/src/connection/json_reader.cpp
@@ -11,8 +11,14 @@
 // No message or record needs more; a parsed value of any depth would be a tree of that depth.
 constexpr int max_nesting = 64;
 
-bool is_nested_too_deep(std::string_view bytes) {
+// Values that a message may have in total. Each takes up to 100 bytes as a part of a tree, and as little as
+// two as text. A job has fewer than 100,000, a configuration with 4,445 queues about 60,000.
+constexpr std::size_t max_values = 200'000;
+
+// Returns what would make the parsed message too large, or null.
+const char* find_excess(std::string_view bytes) {
     int depth = 0;
+    std::size_t values = 1;
     bool is_in_text = false;
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         const char c = bytes[i];
@@ -22,22 +28,27 @@
         } else if (c == '"') {
             is_in_text = true;
         } else if (c == '[' || c == '{') {
+            ++values;
             if (++depth > max_nesting) {
-                return true;
+                return "is nested more than 64 levels deep";
             }
         } else if (c == ']' || c == '}') {
             --depth;
+        } else if (c == ',') {
+            ++values;
+        }
+        if (values > max_values) {
+            return "has more than 200000 values";
         }
     }
-    return false;
+    return nullptr;
 }
 
 }  // namespace
 
 absl::StatusOr<nlohmann::json> parse_json_object(std::string_view bytes, std::string_view what) {
-    if (is_nested_too_deep(bytes)) {
-        return make_error(error_kind::bad_request, std::string(what) + " is nested more than " +
-                                                       std::to_string(max_nesting) + " levels deep");
+    if (const char* excess = find_excess(bytes); excess != nullptr) {
+        return make_error(error_kind::bad_request, std::string(what) + " " + excess);
     }
     auto parsed = nlohmann::json::parse(bytes.begin(), bytes.end(), nullptr, false);
     if (!parsed.is_object()) {
--- a/src/process/lock_order.hpp
+++ b/src/process/lock_order.hpp
@@ -22,6 +22,8 @@
     quota = 90,
     link_budget = 100,
     connections = 110,
+    connection_budget = 115,
+    rejections = 117,
     pending_responses = 120,
     store = 130,
     standin = 140,
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -68,6 +68,13 @@
     for (const auto& mapping : get_all_error_mappings()) {
         refused_.at(index_of(mapping.kind)) = &refused.Add({{"kind", std::string(mapping.name)}});
     }
+    auto& rejected = prometheus::BuildCounter()
+                         .Name("jacinthvane_remote_sides_rejected_total")
+                         .Help("Connections, requests and responses rejected because of a limit, by limit")
+                         .Register(*registry_);
+    for (std::size_t i = 0; i < rejected_.size(); ++i) {
+        rejected_[i] = &rejected.Add({{"kind", std::string(get_name(static_cast<rejection>(i)))}});
+    }
     auto& calls = prometheus::BuildCounter()
                       .Name("jacinthvane_store_calls_total")
                       .Help("Calls to the platform's store by kind and result")
@@ -116,6 +123,17 @@
                        .Help("1 if the process owns a cell and cannot start further jobs in time")
                        .Register(*registry_)
                        .Add({});
+    connections_ = &prometheus::BuildGauge()
+                        .Name("jacinthvane_connections")
+                        .Help("Open connections of clients on all ports")
+                        .Register(*registry_)
+                        .Add({});
+    auto& held = prometheus::BuildGauge()
+                     .Name("jacinthvane_connection_bytes")
+                     .Help("Memory of the connections of clients and of the responses that are being read")
+                     .Register(*registry_);
+    request_bytes_ = &held.Add({{"side", "clients"}});
+    response_bytes_ = &held.Add({{"side", "responses"}});
     auto& members = prometheus::BuildGauge()
                         .Name("jacinthvane_members")
                         .Help("Members known to this process by state")
@@ -155,6 +173,10 @@
     refused_.at(index_of(kind))->Increment();
 }
 
+void metrics::count_rejected(rejection kind) {
+    rejected_.at(index_of(kind))->Increment();
+}
+
 void metrics::count_store_call(store_call_kind call, store_result result) {
     store_calls_.at(index_of(call)).at(index_of(result))->Increment();
 }
@@ -198,6 +220,13 @@
     overloaded_->Set(is_overloaded ? 1 : 0);
 }
 
+void metrics::set_connection_usage(std::size_t connections, std::size_t request_bytes,
+                                   std::size_t response_bytes) {
+    connections_->Set(static_cast<double>(connections));
+    request_bytes_->Set(static_cast<double>(request_bytes));
+    response_bytes_->Set(static_cast<double>(response_bytes));
+}
+
 std::uint64_t metrics::get_count(decision what) const {
     return static_cast<std::uint64_t>(decisions_.at(index_of(what))->Value());
 }
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "process/error_kind.hpp"
+#include "process/rejection_log.hpp"
 #include "process/task_types.hpp"
 
 namespace prometheus {
@@ -82,6 +83,8 @@
     void count(decision what, std::uint64_t amount = 1);
     // Counts a request that received an error response, by error kind.
     void count_refused(error_kind kind);
+    // Counts a remote side that was rejected because of a limit.
+    void count_rejected(rejection kind);
     void count_store_call(store_call_kind call, store_result result);
     void count_link_bytes(link_direction direction, task_class work_class, std::uint64_t bytes);
     void count_journal_records(std::uint64_t records, std::uint64_t bytes);
@@ -94,6 +97,8 @@
     void set_ready(bool is_ready);
     // Whether this process owns a cell and cannot start the tasks of further jobs in time.
     void set_overloaded(bool is_overloaded);
+    // What the connections of clients, and the responses that are being read, hold at present.
+    void set_connection_usage(std::size_t connections, std::size_t request_bytes, std::size_t response_bytes);
 
     // Return the values of counters, for the state dump and for tests.
     std::uint64_t get_count(decision what) const;
@@ -116,6 +121,7 @@
     std::shared_ptr<prometheus::Registry> registry_;
     std::array<prometheus::Counter*, decisions> decisions_{};
     std::array<prometheus::Counter*, error_kinds> refused_{};
+    std::array<prometheus::Counter*, rejection_kinds> rejected_{};
     std::array<std::array<prometheus::Counter*, store_results>, store_calls> store_calls_{};
     // Indexed by direction, then by task class.
     std::array<std::array<prometheus::Counter*, 2>, 2> link_bytes_{};
@@ -125,6 +131,9 @@
     prometheus::Gauge* config_version_ = nullptr;
     prometheus::Gauge* ready_ = nullptr;
     prometheus::Gauge* overloaded_ = nullptr;
+    prometheus::Gauge* connections_ = nullptr;
+    prometheus::Gauge* request_bytes_ = nullptr;
+    prometheus::Gauge* response_bytes_ = nullptr;
     std::map<std::string, prometheus::Gauge*, std::less<>> members_;
     std::array<prometheus::Gauge*, 2> queued_{};
     std::array<prometheus::Gauge*, 2> running_{};
--- a/src/request/cell_member.cpp
+++ b/src/request/cell_member.cpp
@@ -45,6 +45,8 @@
 constexpr std::int64_t max_retry_after_ms = 30000;
 constexpr milliseconds max_contest_delay{800};
 constexpr std::size_t peer_connections = 2;
+// A report on a process has three fields.
+constexpr std::size_t max_report_bytes = 64U << 10U;
 // Timeout of a query to an earlier owner, and the pause before it is repeated.
 constexpr milliseconds process_query_timeout{500};
 constexpr milliseconds process_query_pause{200};
@@ -64,7 +66,7 @@
       process_name_(std::move(process_name)),
       metrics_(counters),
       started_at_(std::chrono::steady_clock::now()),
-      peers_(context, peer_connections),
+      peers_(context, peer_connections, {max_report_bytes, ports_.responses}),
       directory_(std::make_shared<peer_directory>(context, ports_.store, settings_.vm,
                                                   make_peer(settings_, process_name_),
                                                   settings_.min_store_lease_ms)),
@@ -91,8 +93,9 @@
             member->record_store_call(is_ok);
         }
     };
-    configs_ = std::make_shared<config_follower>(context_, ports_.registry, directory_,
-                                                 settings_.limits.config_bound, std::move(hooks));
+    configs_ =
+        std::make_shared<config_follower>(context_, ports_.registry, directory_,
+                                          settings_.limits.config_bound, std::move(hooks), ports_.responses);
     directory_->start();
     configs_->start();
     spawn("follow_owner", follow_owner());
--- a/src/request/cell_member.hpp
+++ b/src/request/cell_member.hpp
@@ -49,6 +49,8 @@
     // Ends the ownership of this process if its token is lower than the given one, and reports on the
     // process.
     process_report report_process(std::uint64_t token);
+    // The budget of the responses of peers, which may be null.
+    const std::shared_ptr<response_budget>& get_responses() const { return ports_.responses; }
     // Records the outcome of a store call that another component made; is_ready() uses it.
     void record_store_call(bool is_ok);
 
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -19,6 +19,7 @@
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
 #include "process/owner_load.hpp"
+#include "process/response_budget.hpp"
 #include "process/response_times.hpp"
 #include "process/start_backlog.hpp"
 #include "process/work_pacer.hpp"
@@ -31,6 +32,8 @@
     cell_store store;
     registry_port registry;
     upstream_port upstreams;
+    // The memory of the responses of peers; null if only the limit of each response applies.
+    std::shared_ptr<response_budget> responses = nullptr;
 };
 
 // What the platform and the VM allow an owner.
--- a/src/request/config_follower.cpp
+++ b/src/request/config_follower.cpp
@@ -22,6 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t relay_connections = 2;
+// A configuration is about 1 MB.
+constexpr std::size_t max_report_bytes = 8U << 20U;
 // Pause after a failed read. While the store is unavailable, every process that reads from it retries at
 // this rate.
 constexpr milliseconds retry_delay{200};
@@ -51,13 +53,13 @@
 
 config_follower::config_follower(asio::io_context& context, registry_port registry,
                                  std::shared_ptr<peer_directory> directory, milliseconds config_bound,
-                                 callbacks hooks)
+                                 callbacks hooks, std::shared_ptr<response_budget> responses)
     : context_(context),
       registry_(std::move(registry)),
       directory_(std::move(directory)),
       config_bound_(config_bound),
       hooks_(std::move(hooks)),
-      relay_client_(context, relay_connections) {}
+      relay_client_(context, relay_connections, {max_report_bytes, std::move(responses)}) {}
 
 void config_follower::start() {
     spawn_task(context_, "follow_config", follow(shared_from_this()));
--- a/src/request/config_follower.hpp
+++ b/src/request/config_follower.hpp
@@ -12,6 +12,7 @@
 #include "connection/http_client.hpp"
 #include "connection/registry_port.hpp"
 #include "process/ordered_mutex.hpp"
+#include "process/response_budget.hpp"
 #include "request/peer_directory.hpp"
 #include "version/config_report.hpp"
 #include "version/queue_index.hpp"
@@ -31,10 +32,11 @@
         std::function<void(bool is_ok)> record_store_read;
     };
 
-    // config_bound is the time after which an acknowledged configuration must be in force.
+    // config_bound is the time after which an acknowledged configuration must be in force. The budget of
+    // responses may be null.
     config_follower(asio::io_context& context, registry_port registry,
                     std::shared_ptr<peer_directory> directory, std::chrono::milliseconds config_bound,
-                    callbacks hooks);
+                    callbacks hooks, std::shared_ptr<response_budget> responses = nullptr);
 
     // Follows the configuration until the process ends, also while it shuts down: it serves requests, and is
     // the relay of others, until then.
--- a/src/request/job_submission.cpp
+++ b/src/request/job_submission.cpp
@@ -18,6 +18,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t peer_connections = 4;
+// The counts of 4,445 queues with names of up to 200 bytes are 1 MB.
+constexpr std::size_t max_report_bytes = 4U << 20U;
 // Timeout of one write attempt. A second attempt follows if the outcome of the first is unknown.
 constexpr milliseconds write_timeout{700};
 constexpr milliseconds owner_timeout{500};
@@ -34,7 +36,7 @@
     : store_(std::move(store)),
       member_(std::move(member)),
       metrics_(counters),
-      peers_(context, peer_connections) {}
+      peers_(context, peer_connections, {max_report_bytes, member_->get_responses()}) {}
 
 awaitable<absl::Status> job_submission::submit(queue_rules rules, job_id id, job_spec spec,
                                                time_point deadline) {
--- a/src/version/entry_settings.hpp
+++ b/src/version/entry_settings.hpp
@@ -23,6 +23,9 @@
     std::int64_t processors_milli = 1000;
     // Rate of the link of this VM; 0 if it is unknown.
     std::int64_t link_mbps = 0;
+    // Memory and descriptors that the process may use.
+    std::int64_t memory_mb = 512;
+    std::int64_t max_descriptors = 8192;
     // Shortest lease that the store accepts.
     std::int64_t min_store_lease_ms = 1000;
     // How long the shutdown of the process may take in total.
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -33,7 +33,7 @@
     R"("Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 const std::string settings_body =
     R"({"NodeId":"n","Ip":"10.0.0.1","Zone":"z","Region":"r","Listen":{"Front":"10.0.0.1:1","Ready":"10.0.0.1:2"},)"
-    R"("PortRange":[7720,7735],"Limits":{"CpuShare":0.25,"Cores":1},"platform":{"Addr":"10.0.0.2:3","MinTtlMs":1000},)"
+    R"("PortRange":[7720,7735],"Limits":{"CpuShare":0.25,"Cores":1,"MemoryMb":160,"MaxFds":4100},"platform":{"Addr":"10.0.0.2:3","MinTtlMs":1000},)"
     R"("Bounds":{"MaxHoldMs":10000,"StopTimeoutMs":400,"GraceS":6}})";
 const std::string changes_body =
     R"({"events":[{"Key":"k","Value":"bm9kZS0x","Rev":412,"CreatedAt":400},{"Key":"o","Rev":413,"Deleted":true}],"At":413})";
@@ -152,6 +152,11 @@
         objects += "{\"a\":";
     }
     objects += "1" + std::string(depth, '}');
+    // Small as text, and many times larger as a decoded tree.
+    std::string many;
+    for (std::size_t i = 0; i < depth; ++i) {
+        many += "[],";
+    }
     const auto replace = [](const std::string& old_text, const std::string& new_text) {
         auto value = entry_value;
         value.replace(value.find(old_text), old_text.size(), new_text);
@@ -160,6 +165,7 @@
     const std::vector<std::string> cases = {
         nested,
         objects,
+        replace(R"("Labels")", R"("Other":[)" + many + R"([]],"Labels")"),
         replace(R"(["a","r1-3"])", nested),
         replace(R"("Labels")", R"("Other":)" + objects + R"(,"Labels")"),
         replace("2500", "1e30"),
@@ -271,6 +277,8 @@
     const auto settings = platform::decode_settings(settings_body);
     BOOST_REQUIRE(settings.ok());
     BOOST_TEST(settings->processors_milli == 250);
+    BOOST_TEST(settings->memory_mb == 160);
+    BOOST_TEST(settings->max_descriptors == 4100);
     BOOST_TEST((settings->limits.stop_timeout == std::chrono::milliseconds(400)));
     // The file allows a longer lease. A shorter one lets the tasks of an unresponsive upstream restart
     // sooner.
