--- a/src/process/work_pacer.cpp
+++ b/src/process/work_pacer.cpp
@@ -40,12 +40,18 @@
 void work_pacer::add_timer(time_point due, time_point now) {
     const auto held_up = std::min(decision_end_, now) - std::max(decision_begin_, due);
     const auto late = now - due - std::max(held_up, time_point::duration::zero());
-    if (late >= late_after && now >= next_increase_) {
-        pause_ = std::clamp(pause_ * growth_percent / 100, first_pause, max_pause);
+    const bool is_late = late >= late_after;
+    if (is_late && now >= next_increase_) {
+        // One late timer between others on time follows from a burst, such as the orders of one decision, or
+        // from the end of this process's share of a processor for a moment. Work is queued only if the next
+        // timer is late too.
+        pause_ = was_late_ ? std::clamp(pause_ * growth_percent / 100, first_pause, max_pause)
+                           : std::max(pause_, first_pause);
         next_increase_ = now + increase_interval;
     } else if (late <= on_time_within) {
         pause_ = pause_ * decay_percent / 100;
     }
+    was_late_ = is_late;
 }
 
 time_point work_pacer::get_next_poll(time_point last_poll, time_point expected_end) const {
--- a/src/process/work_pacer.hpp
+++ b/src/process/work_pacer.hpp
@@ -32,6 +32,7 @@
 
 private:
     std::chrono::milliseconds pause_{0};
+    bool was_late_ = false;
     time_point next_increase_;
     time_point decision_begin_;
     time_point decision_end_;
--- a/tests/work_pacer_test.cpp
+++ b/tests/work_pacer_test.cpp
@@ -55,6 +55,19 @@
     BOOST_TEST(pacer.get_pause().count() > 0);
 }
 
+// Guards against an owner with capacity that polls rarely because each burst of orders makes one timer late:
+// its pauses grew to most of a second.
+BOOST_AUTO_TEST_CASE(single_late_timers_do_not_lengthen_the_pause) {
+    jacinthvane::work_pacer pacer;
+    auto now = start;
+    for (int i = 0; i < 200; ++i) {
+        now += milliseconds(50);
+        pacer.add_timer(now, now + milliseconds(i % 4 == 0 ? 60 : 20));
+    }
+    BOOST_TEST(pacer.get_pause().count() > 0);
+    BOOST_TEST((pacer.get_pause() <= milliseconds(250)));
+}
+
 // Guards against a process that stays slow after a short overload.
 BOOST_AUTO_TEST_CASE(pauses_end_after_an_overload) {
     jacinthvane::work_pacer pacer;
