--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -511,6 +511,8 @@
                                           const std::vector<best_effort_use>& best_effort_tasks,
                                           time_point now);
     double get_urgency_of(const run_key& key, const run_record& run, time_point now);
+    // Whether a target is exceeded, or will be with the CPU limits in force.
+    bool is_target_at_risk(const upstream_ledger& upstream, const std::vector<serving_budget>& budgets) const;
     std::int32_t clamp_cpu_limit(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
                                  std::int32_t planned, time_point now) const;
     void order_cpu_limit(upstream_ledger& upstream, const run_key& key, run_record& run,
