--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -172,6 +172,16 @@
                      .Register(*registry_);
     request_bytes_ = &held.Add({{"side", "clients"}});
     response_bytes_ = &held.Add({{"side", "responses"}});
+    migrations_ = &prometheus::BuildCounter()
+                       .Name("jacinthvane_migrations_total")
+                       .Help("Best-effort tasks that were stopped to run on another upstream")
+                       .Register(*registry_)
+                       .Add({});
+    migration_gain_ = &prometheus::BuildCounter()
+                           .Name("jacinthvane_migration_gain_seconds_total")
+                           .Help("How much earlier migrated tasks were expected to end, in total")
+                           .Register(*registry_)
+                           .Add({});
     auto& members = prometheus::BuildGauge()
                         .Name("jacinthvane_members")
                         .Help("Members known to this process by state")
@@ -273,6 +283,11 @@
     response_bytes_->Set(static_cast<double>(response_bytes));
 }
 
+void metrics::count_migrations(std::uint64_t migrations, std::chrono::milliseconds expected_gain) {
+    migrations_->Increment(static_cast<double>(migrations));
+    migration_gain_->Increment(std::chrono::duration<double>(expected_gain).count());
+}
+
 std::uint64_t metrics::get_count(decision what) const {
     return static_cast<std::uint64_t>(decisions_.at(index_of(what))->Value());
 }
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -106,6 +107,8 @@
     void set_evacuated_domains(std::uint64_t domains);
     // What the connections of clients, and the responses that are being read, hold at present.
     void set_connection_usage(std::size_t connections, std::size_t request_bytes, std::size_t response_bytes);
+    // Counts migrations of best-effort tasks, and how much earlier they are expected to end.
+    void count_migrations(std::uint64_t migrations, std::chrono::milliseconds expected_gain);
 
     // Return the values of counters, for the state dump and for tests.
     std::uint64_t get_count(decision what) const;
@@ -143,6 +146,8 @@
     prometheus::Gauge* connections_ = nullptr;
     prometheus::Gauge* request_bytes_ = nullptr;
     prometheus::Gauge* response_bytes_ = nullptr;
+    prometheus::Counter* migrations_ = nullptr;
+    prometheus::Counter* migration_gain_ = nullptr;
     std::map<std::string, prometheus::Gauge*, std::less<>> members_;
     std::array<prometheus::Gauge*, 2> queued_{};
     std::array<prometheus::Gauge*, 2> running_{};
