Test the limit of trailers and the deadline of slow requests

The suite hostile_client checks only memory and descriptors. A case of http checks that trailers above the limit get 413 with not-run, and that a request at one byte every 50 ms ends at its deadline although each byte arrives in time. The linter's finding in hostile_fixture.cpp is mended; its crowds and bounds are unchanged.

--- a/tests/hostile_fixture.cpp
+++ b/tests/hostile_fixture.cpp
@@ -145,6 +145,7 @@
         // Freed memory that a sanitizer keeps is no memory of the process.
         "ASAN_OPTIONS=quarantine_size_mb=1:thread_local_quarantine_size_kb=64"};
     std::vector<char*> environment;
+    environment.reserve(variables.size() + 1);
     for (auto& variable : variables) {
         environment.push_back(variable.data());
     }
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -15,6 +15,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "connection/async_signal.hpp"
+#include "connection/endpoint.hpp"
 #include "connection/http_client.hpp"
 #include "connection/http_server.hpp"
 #include "connection/spawn_task.hpp"
@@ -275,6 +276,33 @@
     runner.join();
 }
 
+// Guards against trailers that are kept without limit, and against a deadline that each further byte renews.
+BOOST_AUTO_TEST_CASE(long_trailers_are_refused_and_slow_requests_end) {
+    asio::io_context context;
+    http_limits limits;
+    limits.io_timeout = milliseconds(300);
+    http_server server(context, limits, echo);
+    BOOST_REQUIRE(server.listen("127.0.0.1:0").ok());
+    std::thread runner([&] { context.run(); });
+    asio::io_context client_context;
+    const auto refused = exchange_raw(client_context, server.get_address(),
+                                      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+                                          std::string(2 * limits.max_header_bytes, 'a'));
+    BOOST_TEST(refused.find("HTTP/1.1 413") == 0U);
+    BOOST_TEST(refused.find("not-run") != std::string::npos);
+    tcp::socket slow(client_context);
+    slow.connect(*parse_endpoint<tcp>(server.get_address()));
+    boost::system::error_code error;
+    const auto deadline = after(max_wait);
+    while (!error && std::chrono::steady_clock::now() < deadline) {
+        asio::write(slow, asio::buffer("G", 1), error);
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+    BOOST_TEST(error);
+    context.stop();
+    runner.join();
+}
+
 // Guards against a lost response being reported as a request that was never sent.
 BOOST_AUTO_TEST_CASE(client_distinguishes_unreachable_from_lost) {
     asio::io_context context;
