Take the smaller of equally free upstreams for reserved tasks

Cause: among upstreams with equal shares committed the one with the lower slot was taken, also if it was the only one with room for a large task.

Change: each processor of the upstream adds a small cost for tasks with reserved processors, which decides only between equal shares.

--- a/src/version/cell_costs.cpp
+++ b/src/version/cell_costs.cpp
@@ -15,6 +15,10 @@
 constexpr double failure_cost = 0.3;
 constexpr double best_effort_share_cost = 0.3;
 constexpr double slow_best_effort_cost = 2.0;
+// For a task with reserved processors, what each processor of the upstream adds to the cost. It decides only
+// between equal shares: the smaller upstream is taken, as the room left over on the larger one suits more
+// tasks.
+constexpr double upstream_size_cost = 1e-6;
 // Groups latency-critical tasks of one image, so that fewer kinds of best-effort tasks interfere on each
 // upstream. More than 1, so that an empty upstream is preferred to one that runs other images.
 constexpr double other_image_cost = 1.5;
@@ -48,7 +52,8 @@
     const double failures = failure_cost * upstream.health.get_failures();
     const double best_effort = best_effort_share_cost * get_share(upstream.best_effort_milli);
     return {
-        failures + get_share(upstream.committed.get_processors_milli()) + best_effort,
+        failures + get_share(upstream.committed.get_processors_milli()) + best_effort +
+            upstream_size_cost * static_cast<double>(processors) / 1000,
         // Fills one upstream before the next, which keeps other upstreams free of latency-critical tasks.
         failures + get_share(upstream.get_room().get_processors_milli()),
         failures + get_share(upstream.used_milli + upstream.best_effort_milli),
--- a/tests/placement_forecast_test.cpp
+++ b/tests/placement_forecast_test.cpp
@@ -138,7 +138,29 @@
     BOOST_TEST(busy.get_totals().used == 1U);
 }
 
-// The same without a reservation, as the sizes are similar: the large task waits until the stream ends.
+// The same for a serving task, whose own end is not known.
+BOOST_AUTO_TEST_CASE(starts_a_serving_task_beside_a_stream_of_small_ones) {
+    busy_cell busy(2);
+    auto step = make_timed_step(6000, 2000);
+    step.is_long_running = true;
+    step.target_tail_ms = 50;
+    busy.cell.add_job("serving", make_ranked_job(step, 1));
+    busy.run_for(seconds(2));
+    BOOST_TEST(busy.has_started("serving"));
+    BOOST_TEST(busy.get_totals().used == 1U);
+}
+
+// Guards against small tasks that break up the only upstream with room for a large one.
+BOOST_AUTO_TEST_CASE(small_tasks_take_the_smaller_of_equally_free_upstreams) {
+    cell_fixture cell(1, {32000, 64000, 0, 0});
+    cell.add_upstream("u1", {8000, 64000, 0, 0});
+    cell.run_for(milliseconds(200));
+    cell.add_job("small", make_ranked_job(cell_fixture::make_step(1), 0));
+    cell.run_for(milliseconds(100));
+    BOOST_TEST(cell.upstreams.count_running(upstream_id("u1")) == 1U);
+}
+
+// Without a reservation, as the sizes are similar, a large task waits until the stream ends.
 BOOST_AUTO_TEST_CASE(holds_no_room_among_similar_sizes) {
     busy_cell busy(2, 4000);
     busy.add_large("large");
