--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -34,6 +34,7 @@
 void run_record::expect_in_next_incarnation() {
     is_incarnation_unknown = true;
     is_listed = false;
+    accepted_clock_ms = 0;
     seen_clock_ms = 0;
     stopped_clock_ms = 0;
     absent_clock_ms = 0;
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -11,6 +11,7 @@
 #include "process/clock.hpp"
 #include "process/ids.hpp"
 #include "process/resource_vector.hpp"
+#include "process/return_ramp.hpp"
 #include "process/start_health.hpp"
 #include "process/tail_model.hpp"
 #include "process/task_ref.hpp"
@@ -65,6 +66,10 @@
     std::size_t crash_suspects = 0;
     // When the response that accepted the start order arrived.
     time_point accepted_at;
+    // Clock of the upstream in that response; 0 if there was none from the current incarnation.
+    std::int64_t accepted_clock_ms = 0;
+    // It was counted as a run at its estimated speed; see return_ramp.
+    bool is_speed_counted = false;
     // Start orders whose missing responses say something about the upstream.
     std::uint32_t failed_orders = 0;
     // Orders of the current phase that were sent again.
@@ -204,6 +209,7 @@
     std::vector<ended_best_effort_task> ended_best_effort_tasks;
     upstream_health health;
     start_health starts;
+    return_ramp returning;
     // Its slot in the index of the scheduler.
     upstream_index::slot_number slot = 0;
     // Whether the scheduler looks for orders to send again here, and for best-effort tasks to move.
--- a/src/request/cell_evacuations.cpp
+++ b/src/request/cell_evacuations.cpp
@@ -1,6 +1,5 @@
 // Follows the evacuations of failure domains; see cell_owner.hpp.
 
-#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <utility>
@@ -20,6 +19,15 @@
 // How long the store holds a watch without changes, which is also the least time between two reads.
 constexpr milliseconds read_interval{1000};
 constexpr milliseconds watch_margin{700};
+// Differences between two readings of a pair of clocks that show no suspension of the machine.
+constexpr milliseconds suspension_tolerance{50};
+
+// Returns for how long this machine has been suspended in total. The first clock is read first, so that a
+// pause between the two readings does not look like a suspension.
+time_point::duration get_suspended_time() {
+    const auto suspend_aware = get_suspend_aware_now();
+    return suspend_aware - std::chrono::steady_clock::now();
+}
 
 }  // namespace
 
@@ -28,22 +36,23 @@
         co_return true;
     }
     const auto sent_at = std::chrono::steady_clock::now();
-    const auto sent_at_suspend_aware = get_suspend_aware_now();
+    const auto suspended = get_suspended_time();
     const auto listing = co_await ports_.registry.list_evacuations(get_store_deadline());
     if (!listing.ok()) {
         record_evacuation_read(listing.status());
         co_return false;
     }
     evacuations_revision_ = listing->revision;
-    apply_evacuations(*listing, true, sent_at, sent_at_suspend_aware);
+    apply_evacuations(*listing, true, sent_at, suspended);
     co_return true;
 }
 
 awaitable<void> cell_owner::follow_evacuations(std::uint64_t revision) {
+    const bool is_enabled = limits_.evacuation_bound > milliseconds(0);
     bool must_list = false;
-    while (!is_over()) {
+    while (is_enabled && !is_over()) {
         const auto sent_at = std::chrono::steady_clock::now();
-        const auto sent_at_suspend_aware = get_suspend_aware_now();
+        const auto suspended = get_suspended_time();
         absl::StatusOr<evacuation_changes> changes;
         if (must_list) {
             changes = co_await ports_.registry.list_evacuations(get_store_deadline());
@@ -66,7 +75,7 @@
             const bool is_waited_out = !must_list && changes->changes.empty() &&
                                        std::chrono::steady_clock::now() >= sent_at + read_interval;
             const auto waited = is_waited_out ? read_interval : milliseconds(0);
-            apply_evacuations(*changes, must_list, sent_at + waited, sent_at_suspend_aware + waited);
+            apply_evacuations(*changes, must_list, sent_at + waited, suspended);
         }
         must_list = !changes.ok() && (must_list || is_gap);
         co_await wait_until(sent_at + read_interval);
@@ -74,7 +83,7 @@
 }
 
 void cell_owner::apply_evacuations(const evacuation_changes& changes, bool is_listing,
-                                   time_point complete_until, time_point complete_until_suspend_aware) {
+                                   time_point complete_until, time_point::duration suspended) {
     bool may_start_more = false;
     {
         std::lock_guard lock(mutex_);
@@ -82,8 +91,9 @@
             return;
         }
         may_start_more = !is_evacuation_view_current();
-        const auto changed = scheduler_.apply_evacuations(changes, is_listing, complete_until);
-        evacuations_complete_until_ = std::max(evacuations_complete_until_, complete_until_suspend_aware);
+        const auto changed = scheduler_.apply_evacuations(changes, is_listing, complete_until,
+                                                          std::chrono::steady_clock::now());
+        suspended_at_evacuation_read_ = suspended;
         may_start_more = may_start_more || changed > 0;
         metrics_.set_evacuated_domains(scheduler_.get_evacuations().get_domains().size());
     }
@@ -115,9 +125,10 @@
     if (!evacuations.is_enabled()) {
         return true;
     }
-    // The clock of the scheduler does not count the time for which the machine is suspended.
+    // The clock of the scheduler does not count the time for which the machine is suspended, so a view from
+    // before a suspension is older than it seems.
     return evacuations.allows_starts(std::chrono::steady_clock::now()) &&
-           get_suspend_aware_now() < evacuations_complete_until_ + limits_.evacuation_bound;
+           get_suspended_time() < suspended_at_evacuation_read_ + suspension_tolerance;
 }
 
 bool cell_owner::may_start() const {
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -154,9 +154,7 @@
     }
     spawn("follow_jobs", follow_jobs(jobs_revision_));
     spawn("follow_upstreams", follow_upstreams(registry_revision_));
-    if (limits_.evacuation_bound > milliseconds(0)) {
-        spawn("follow_evacuations", follow_evacuations(evacuations_revision_));
-    }
+    spawn("follow_evacuations", follow_evacuations(evacuations_revision_));
     spawn("write_progress", write_progress());
     spawn("prove_ownership", prove_ownership());
     spawn("remove_expired_jobs", remove_expired_jobs());
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -104,10 +104,10 @@
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
     awaitable<void> follow_evacuations(std::uint64_t revision);
-    // Applies a read that contains all evacuations that the store had accepted at a time, given on both
-    // clocks.
+    // Applies a read that contains all evacuations that the store had accepted at a time. The machine had
+    // been suspended for this long in total when the read was sent.
     void apply_evacuations(const evacuation_changes& changes, bool is_listing, time_point complete_until,
-                           time_point complete_until_suspend_aware);
+                           time_point::duration suspended);
     // Logs the first of several failed reads in a row, and the first that succeeds again.
     void record_evacuation_read(const absl::Status& status);
     // Whether the evacuations are known well enough to send start orders. Called with the mutex held.
@@ -207,8 +207,8 @@
     work_pacer pacer_;
     std::set<upstream_id> polled_upstreams_;
     bool is_evacuation_read_failing_ = false;
-    // See evacuation_state; on a clock that also counts the time in which the machine is suspended.
-    time_point evacuations_complete_until_;
+    // For how long the machine had been suspended in total when the last successful read was sent.
+    time_point::duration suspended_at_evacuation_read_{};
     bool is_over_ = false;
     bool is_loaded_ = false;
     bool is_stopping_ = false;
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -151,6 +151,7 @@
         case order_result::accepted:
             run->phase = run_phase::running;
             if (order.boot_unix_ms == upstream.boot_unix_ms) {
+                run->accepted_clock_ms = response.clock_ms;
                 run->seen_clock_ms = std::max(run->seen_clock_ms, response.clock_ms);
                 run->percent_changed_clock_ms = std::max(run->percent_changed_clock_ms, response.clock_ms);
             }
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds max_failure_delay{2000};
 // Progress of a long-running task that has started up.
 constexpr std::int32_t at_work_percent = 100;
+constexpr std::int32_t full_percent = 100;
 // How long an upstream without runs may hold a poll.
 constexpr std::int64_t empty_poll_wait_ms = 2000;
 // Allowed in addition to the stop timeout before an absent run is released.
@@ -126,8 +127,11 @@
     LOG(INFO) << "event=run_ended task=" << row.task.to_string() << "/" << row.run
               << " upstream=" << upstream.entry.id.get() << " how=" << get_name(row.how)
               << " end=" << row.number << " token=" << token_;
-    const auto* known = upstream.find_run(row.task, row.run);
+    auto* known = upstream.find_run(row.task, row.run);
     const bool was_known = known != nullptr;
+    if (was_known && row.how == run_end::done) {
+        observe_return(upstream, row.task, *known, full_percent, now);
+    }
     const auto started_at = was_known ? known->started_at : time_point();
     if (was_known && known->best_effort_milli > 0) {
         const auto capacity = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
@@ -330,6 +334,7 @@
         run->update_expected_end(now);
     }
     run->load = row.load;
+    observe_return(upstream, row.task, *run, row.percent, now);
     auto* job = find_job(row.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(row.task);
     if (task != nullptr && task->phase == task_phase::active && task->last_run == row.run &&
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -32,6 +32,7 @@
     for (auto& [id, upstream] : upstreams_) {
         move_runs_from_leaving(upstream, clock.now);
     }
+    log_waiting_for_evacuation(clock.now);
     const auto scheduled = scheduled_jobs_;
     for (const auto& id : scheduled) {
         if (auto* job = find_job(id)) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -152,11 +152,11 @@
     const upstream_ledger* find_upstream(const upstream_id& id) const;
 
     // Records the evacuated failure domains: a listing of all, or changes since the last call. Evacuations
-    // that were accepted before the given time are included. Returns how many have begun or ended. Without
+    // that were accepted before complete_until are included. Returns how many have begun or ended. Without
     // cell_limits::evacuation_bound it need not be called; otherwise no task starts before the first call,
     // nor when the last one is too long ago.
     std::size_t apply_evacuations(const evacuation_changes& changes, bool is_listing,
-                                  time_point complete_until);
+                                  time_point complete_until, time_point now);
     const evacuation_state& get_evacuations() const { return evacuations_; }
 
     // The next poll of an upstream. It renews the lease only if may_renew is set, that is while ownership is
@@ -521,7 +521,15 @@
     std::chrono::milliseconds get_longest_start_delay(time_point now) const;
     // Withdraws start orders that were not sent, and tickets.
     void begin_evacuation(const failure_domain_id& domain);
-    void end_evacuation(const failure_domain_id& domain);
+    void end_evacuation(const failure_domain_id& domain, time_point now);
+    // Counts a run for the return of load to the upstream, if it is seen to be fast enough.
+    void observe_return(upstream_ledger& upstream, const task_ref& task, run_record& run,
+                        std::int32_t percent, time_point now) const;
+    // Whether tasks of the step wait that could run in an evacuated domain and nowhere else.
+    bool waits_for_evacuation(const job_record& job, const step_state& state, const step_spec& spec) const;
+    bool waits_for_evacuation(const job_record& job) const;
+    // Logs, at an interval, the jobs that wait for the end of an evacuation.
+    void log_waiting_for_evacuation(time_point now);
     void log_evacuation(const char* event, const failure_domain_id& domain) const;
 
     // Decisions (cell_placement.cpp)
@@ -562,7 +570,7 @@
     // Returns the cost of a task of the step on the upstream, or nothing if it may not start there.
     std::optional<double> evaluate(const upstream_ledger& upstream, const step_terms& terms, time_point now);
     // Whether a usable upstream may run a task of the step and has room for it.
-    static bool has_room_for(const upstream_ledger& upstream, const step_terms& terms);
+    static bool has_room_for(const upstream_ledger& upstream, const step_terms& terms, time_point now);
 
     // Costs (cell_costs.cpp)
     static cost_bounds get_cost_bounds(const upstream_ledger& upstream);
@@ -632,6 +640,7 @@
     // By slot of the upstream.
     std::vector<best_effort_view> best_effort_views_;
     time_point next_maintenance_;
+    time_point next_evacuation_log_;
 };
 
 }  // namespace jacinthvane
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -25,9 +25,10 @@
                       [&](const auto& entry) { return entry.first.first.is_in_step(step); }));
 }
 
-bool has_finite_runs(const upstream_ledger& upstream) {
-    return std::any_of(upstream.runs.begin(), upstream.runs.end(),
-                       [](const auto& entry) { return !entry.second.is_long_running; });
+std::size_t count_finite_runs(const upstream_ledger& upstream) {
+    return static_cast<std::size_t>(
+        std::count_if(upstream.runs.begin(), upstream.runs.end(),
+                      [](const auto& entry) { return !entry.second.is_long_running; }));
 }
 
 placement_kind get_kind(const step_spec& spec) {
@@ -238,7 +239,7 @@
 std::optional<double> cell_scheduler::evaluate(const upstream_ledger& upstream, const step_terms& terms,
                                                time_point now) {
     ++evaluated_placements_;
-    if (!has_room_for(upstream, terms)) {
+    if (!has_room_for(upstream, terms, now)) {
         return std::nullopt;
     }
     double gain = 1.0;
@@ -257,7 +258,7 @@
     return get_cost(upstream, terms, gain);
 }
 
-bool cell_scheduler::has_room_for(const upstream_ledger& upstream, const step_terms& terms) {
+bool cell_scheduler::has_room_for(const upstream_ledger& upstream, const step_terms& terms, time_point now) {
     const auto& spec = *terms.spec;
     const auto& entry = upstream.entry;
     if (!spec.get_reserved_size().is_within(upstream.get_room()) || upstream.unknown_size_runs > 0) {
@@ -266,7 +267,11 @@
     if (entry.service != terms.service || !entry.has_label(spec.required_label)) {
         return false;
     }
-    if (upstream.health.is_on_trial() && has_finite_runs(upstream)) {
+    if (upstream.health.is_on_trial() && count_finite_runs(upstream) > 0) {
+        return false;
+    }
+    if (!spec.is_long_running && upstream.returning.is_active(now) &&
+        !upstream.returning.allows_run(count_finite_runs(upstream), now)) {
         return false;
     }
     // Members of a gang start together or not at all.
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -139,7 +139,7 @@
     for (const auto& domain : evacuated) {
         listing.changes.push_back({domain, false});
     }
-    scheduler->apply_evacuations(listing, true, clock->get_now());
+    scheduler->apply_evacuations(listing, true, clock->get_now(), clock->get_now());
 }
 
 void cell_fixture::send(const upstream_order& order) {
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -48,7 +48,7 @@
     // Reads the evacuations at once, without a decision.
     void begin() {
         evacuated.insert(domain);
-        scheduler->apply_evacuations({{{domain, false}}, 2}, true, clock->get_now());
+        scheduler->apply_evacuations({{{domain, false}}, 2}, true, clock->get_now(), clock->get_now());
     }
 
     std::size_t starts_there = 0;
@@ -109,7 +109,7 @@
     cell.begin();
     BOOST_TEST(!cell.scheduler->is_start_pending(start, now));
     cell.evacuated = {domain};
-    cell.scheduler->apply_evacuations({{{domain, false}}, 3}, true, now);
+    cell.scheduler->apply_evacuations({{{domain, false}}, 3}, true, now, now);
     cell.scheduler->apply_order_response(start, {order_result::withdrawn, 0}, cell.read_clock());
     const auto later = cell.scheduler->decide(cell.read_clock(), true);
     BOOST_REQUIRE(later.orders.size() == 1U);
@@ -248,4 +248,54 @@
     BOOST_TEST(cell.upstreams.count_running() == 8U);
 }
 
+// Guards against tickets that are held for upstreams in the domain, so that no others are requested.
+BOOST_AUTO_TEST_CASE(tickets_for_the_domain_are_replaced) {
+    evacuation_cell cell(2);
+    dispatch_config config;
+    queue_settings queue;
+    queue.rules = make_job(1).rules;
+    queue.advice.emplace();
+    config.queues.push_back(queue);
+    cell.scheduler->set_queues(
+        std::make_shared<const queue_index>(std::make_shared<const dispatch_config>(config)));
+    cell.add_job("job", make_job(1));
+    cell.is_polling = false;
+    const auto decide = [&] { return cell.scheduler->decide(cell.read_clock(), true); };
+    const auto request = decide().advice.front();
+    const auto valid_until = cell.clock->get_now() + seconds(60);
+    const upstream_id there("u0");
+    cell.scheduler->apply_advice(request, {{there, "ticket"}}, valid_until);
+    cell.begin();
+    const auto next = decide();
+    BOOST_TEST(next.orders.empty());
+    BOOST_REQUIRE(next.advice.size() == 1U);
+    // Also one that was requested before the evacuation.
+    cell.scheduler->apply_advice(next.advice.front(), {{there, "ticket"}}, valid_until);
+    BOOST_TEST(decide().orders.empty());
+}
+
+// Guards against all waiting tasks in one domain whose upstreams may be cold, against capacity that stays
+// unused although they are fast, and against long-running tasks that wait for it.
+BOOST_AUTO_TEST_CASE(load_returns_as_reports_show_the_speed) {
+    for (const bool is_slow : {false, true}) {
+        evacuation_cell cell(1);
+        cell.evacuated = {domain};
+        cell.run_for(milliseconds(100));
+        auto job = make_job(200);
+        job.spec.steps.front().size = {100, 100, 0, 0};
+        job.spec.steps.front().estimated_ms = 60000;
+        cell.add_job("job", job, is_slow ? 240000 : 60000);
+        auto lasting = make_job(10, true);
+        lasting.spec.steps.front().size = {10, 10, 0, 0};
+        cell.evacuated.clear();
+        cell.run_for(milliseconds(500));
+        BOOST_TEST(cell.upstreams.count_running() == 4U);
+        cell.add_job("lasting", lasting);
+        cell.run_for(seconds(8));
+        BOOST_TEST(cell.upstreams.count_running() == (is_slow ? 14U : 49U));
+        cell.run_for(seconds(14));
+        BOOST_TEST(cell.upstreams.count_running() == 49U);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
