--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -168,6 +168,7 @@
     }
     cell.starts_there = 0;
     cell.run_for(seconds(2));
+    BOOST_TEST((cell.get_state("gang") == job_phase::running));
     BOOST_TEST(cell.upstreams.count_running() == 0U);
     cell.add_upstream("u4", {4000, 64000, 0, 0});
     cell.add_upstream("u5", {4000, 64000, 0, 0});
