--- a/src/process/evacuation_change.hpp
+++ b/src/process/evacuation_change.hpp
@@ -1,16 +1,12 @@
 #pragma once
 
 #include <cstdint>
-#include <string_view>
 #include <vector>
 
 #include "process/ids.hpp"
 
 namespace jacinthvane {
 
-// Prefix of the keys with which operators request evacuations. The name of the failure domain follows.
-constexpr std::string_view evacuation_prefix = "op/evacuate/";
-
 // An operator's request to start nothing more in a failure domain, or its removal.
 struct evacuation_change {
     failure_domain_id domain;
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -65,6 +65,7 @@
 void run_record::expect_in_next_incarnation() {
     is_incarnation_unknown = true;
     is_listed = false;
+    accepted_clock_ms = 0;
     seen_clock_ms = 0;
     stopped_clock_ms = 0;
     absent_clock_ms = 0;
