Read pages of upstream changes one after the other

Cause: 3,000 upstreams write 1,300 entries a second. Change: no pause after a read of 200 changes or more. An entry that is written again without a change no longer marks its upstream as changed.

--- a/src/connection/memory_registry.cpp
+++ b/src/connection/memory_registry.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Changes that one watch returns, as with the platform's store.
+constexpr std::size_t max_watched_changes = 500;
+
 time_point get_wait_deadline(std::int64_t wait_ms, time_point deadline) {
     return std::min(deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms));
 }
@@ -43,10 +46,13 @@
             }
             upstream_changes result;
             result.revision = revision_;
-            for (const auto& numbered : history_) {
-                if (numbered.revision > after) {
-                    result.changes.push_back(numbered.change);
-                }
+            auto next = std::upper_bound(history_.begin(), history_.end(), after,
+                                         [](std::uint64_t revision, const numbered_change& numbered) {
+                                             return revision < numbered.revision;
+                                         });
+            for (; next != history_.end() && result.changes.size() < max_watched_changes; ++next) {
+                result.changes.push_back(next->change);
+                result.revision = next->revision;
             }
             if (!result.changes.empty()) {
                 co_return result;
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -148,6 +148,9 @@
     constexpr milliseconds margin{700};
     // Registry entries change frequently; changes within this time are read with one call.
     constexpr milliseconds batch_window{300};
+    // A response with as many changes may be a page of more: the store returns about 500 at a time, and 3,000
+    // upstreams write 1,300 a second. Waiting between such pages would leave the owner behind for good.
+    constexpr std::size_t page_changes = 200;
     while (!is_over()) {
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
         auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
@@ -164,7 +167,7 @@
         apply_upstream_changes(*changes, is_listing);
         upstreams_changed_.notify_all();
         wake_.notify_all();
-        if (!changes->changes.empty()) {
+        if (!changes->changes.empty() && changes->changes.size() < page_changes) {
             co_await wait_until(std::chrono::steady_clock::now() + batch_window);
         }
     }
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -138,8 +138,12 @@
         return;
     }
     auto& upstream = found->second;
+    // Upstreams write their entries about once a second, mostly without a change. Each change has tasks that
+    // found no room sought a place there again.
+    if (!upstream.is_listed || upstream.entry != entry) {
+        mark_changed(upstream);
+    }
     upstream.is_listed = true;
-    mark_changed(upstream);
     if (entry.boot_unix_ms > upstream.boot_unix_ms && upstream.boot_unix_ms != 0) {
         begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, now);
     }
--- a/tests/upstream_list_test.cpp
+++ b/tests/upstream_list_test.cpp
@@ -40,4 +40,22 @@
     BOOST_TEST(wait_for([&] { return shows(owner, leaving, "leaving"); }));
 }
 
+// Thousands of upstreams write more entries a second than one read returns. Guards against an owner that
+// waits between such reads: it falls behind for good, and sees seconds late that an upstream is leaving.
+BOOST_AUTO_TEST_CASE(leaving_upstreams_are_seen_behind_many_other_changes) {
+    // Read with a pause of 0.3 s for each 500, they would take longer than the test waits.
+    constexpr int other_changes = 120'000;
+    upstream_process upstreams(2);
+    const auto entries = upstreams.get_entries();
+    owner_process owner(entries, owner_options());
+    BOOST_REQUIRE(wait_for([&] { return owner.is_loaded(); }));
+    for (int i = 0; i < other_changes; ++i) {
+        owner.get_registry().set_upstream(entries[1]);
+    }
+    auto leaving = entries[0];
+    leaving.is_leaving = true;
+    owner.get_registry().set_upstream(leaving);
+    BOOST_TEST(wait_for([&] { return shows(owner, leaving, "leaving"); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
