--- a/src/connection/memory_registry.cpp
+++ b/src/connection/memory_registry.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Changes that one watch returns, as with the platform's store.
+constexpr std::size_t max_watched_changes = 500;
+
 time_point get_wait_deadline(std::int64_t wait_ms, time_point deadline) {
     return std::min(deadline, std::chrono::steady_clock::now() + std::chrono::milliseconds(wait_ms));
 }
@@ -43,7 +46,57 @@
             }
             upstream_changes result;
             result.revision = revision_;
-            for (const auto& numbered : history_) {
+            auto next = std::upper_bound(history_.begin(), history_.end(), after,
+                                         [](std::uint64_t revision, const numbered_change& numbered) {
+                                             return revision < numbered.revision;
+                                         });
+            for (; next != history_.end() && result.changes.size() < max_watched_changes; ++next) {
+                result.changes.push_back(next->change);
+                result.revision = next->revision;
+            }
+            if (!result.changes.empty()) {
+                co_return result;
+            }
+        }
+        if (!co_await changed_.wait(seen, until)) {
+            co_return upstream_changes{{}, after};
+        }
+    }
+}
+
+awaitable<absl::StatusOr<evacuation_changes>> memory_registry::list_evacuations(time_point deadline) {
+    if (auto status = co_await check_evacuation_call(deadline); !status.ok()) {
+        co_return status;
+    }
+    std::lock_guard lock(mutex_);
+    evacuation_changes result;
+    result.revision = revision_;
+    for (const auto& domain : evacuations_) {
+        result.changes.push_back({domain, false});
+    }
+    co_return result;
+}
+
+awaitable<absl::StatusOr<evacuation_changes>> memory_registry::watch_evacuations(std::uint64_t after,
+                                                                                 std::int64_t wait_ms,
+                                                                                 time_point deadline) {
+    const auto until = get_wait_deadline(wait_ms, deadline);
+    if (auto status = co_await check_evacuation_call(deadline); !status.ok()) {
+        co_return status;
+    }
+    while (true) {
+        const auto seen = changed_.get_count();
+        {
+            std::lock_guard lock(mutex_);
+            if (auto status = check_available(); !status.ok()) {
+                co_return status;
+            }
+            if (after < discarded_evacuations_) {
+                co_return make_error(error_kind::version_conflict, "the history has been discarded");
+            }
+            evacuation_changes result;
+            result.revision = revision_;
+            for (const auto& numbered : evacuation_history_) {
                 if (numbered.revision > after) {
                     result.changes.push_back(numbered.change);
                 }
@@ -53,7 +106,7 @@
             }
         }
         if (!co_await changed_.wait(seen, until)) {
-            co_return upstream_changes{{}, after};
+            co_return evacuation_changes{{}, after};
         }
     }
 }
@@ -92,6 +145,54 @@
                     : absl::OkStatus();
 }
 
+awaitable<absl::Status> memory_registry::check_evacuation_call(time_point deadline) {
+    bool is_lost = false;
+    absl::Status status;
+    {
+        std::lock_guard lock(mutex_);
+        ++evacuation_calls_;
+        is_lost = loses_evacuation_responses_;
+        status = check_available();
+    }
+    if (is_lost) {
+        co_await wait_until(deadline);
+        status = make_error(error_kind::store_unavailable, "the response was lost");
+    }
+    co_return status;
+}
+
+void memory_registry::set_evacuation(const failure_domain_id& domain, bool is_evacuated) {
+    {
+        std::lock_guard lock(mutex_);
+        if (is_evacuated) {
+            evacuations_.insert(domain);
+        } else {
+            evacuations_.erase(domain);
+        }
+        evacuation_history_.push_back({++revision_, {domain, !is_evacuated}});
+    }
+    changed_.notify_all();
+}
+
+void memory_registry::lose_evacuation_responses(bool is_lost) {
+    std::lock_guard lock(mutex_);
+    loses_evacuation_responses_ = is_lost;
+}
+
+void memory_registry::discard_evacuation_history() {
+    {
+        std::lock_guard lock(mutex_);
+        evacuation_history_.clear();
+        discarded_evacuations_ = ++revision_;
+    }
+    changed_.notify_all();
+}
+
+std::uint64_t memory_registry::get_evacuation_calls() const {
+    std::lock_guard lock(mutex_);
+    return evacuation_calls_;
+}
+
 void memory_registry::set_down(bool is_down) {
     {
         std::lock_guard lock(mutex_);
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -11,12 +11,39 @@
 namespace {
 
 constexpr std::array decision_names = {
-    "placed",        "retried",           "hedged",        "ejected",       "probed",
-    "readmitted",    "evicted",           "resumed",       "parked",        "job_accepted",
-    "job_finished",  "job_cancelled",     "key_claimed",   "key_repeated",  "unknown_outcome",
-    "takeover",      "takeover_unproved", "handover",      "term_lapsed",   "late_start_refused",
-    "journal_batch", "journal_conflict",  "snapshot",      "link_replaced", "datagram_refused",
-    "config_change", "config_conflict",   "admin_refused", "runbook_step",  "task_exception",
+    "placed",
+    "retried",
+    "hedged",
+    "ejected",
+    "probed",
+    "readmitted",
+    "evicted",
+    "resumed",
+    "parked",
+    "job_accepted",
+    "job_finished",
+    "job_cancelled",
+    "key_claimed",
+    "key_repeated",
+    "unknown_outcome",
+    "takeover",
+    "takeover_unproved",
+    "handover",
+    "term_lapsed",
+    "late_start_refused",
+    "journal_batch",
+    "journal_conflict",
+    "snapshot",
+    "link_replaced",
+    "datagram_refused",
+    "config_change",
+    "config_conflict",
+    "admin_refused",
+    "runbook_step",
+    "task_exception",
+    "reservation_created",
+    "reservation_used",
+    "reservation_cancelled",
 };
 constexpr std::array store_call_names = {"get",         "compare_and_swap", "remove", "grant_lease",
                                          "renew_lease", "release_lease",    "watch"};
@@ -33,7 +60,7 @@
 const prometheus::Histogram::BucketBoundaries time_buckets = {
     1e-6, 1e-5, 1e-4, 0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 4, 6.9, 15, 60, 600, 3600};
 
-static_assert(decision_names.size() == static_cast<std::size_t>(decision::task_exception) + 1);
+static_assert(decision_names.size() == static_cast<std::size_t>(decision::reservation_cancelled) + 1);
 static_assert(store_call_names.size() == static_cast<std::size_t>(store_call_kind::watch) + 1);
 static_assert(store_result_names.size() == static_cast<std::size_t>(store_result::unknown) + 1);
 static_assert(time_names.size() == static_cast<std::size_t>(measured_time::takeover) + 1);
@@ -68,6 +95,13 @@
     for (const auto& mapping : get_all_error_mappings()) {
         refused_.at(index_of(mapping.kind)) = &refused.Add({{"kind", std::string(mapping.name)}});
     }
+    auto& rejected = prometheus::BuildCounter()
+                         .Name("jacinthvane_remote_sides_rejected_total")
+                         .Help("Connections, requests and responses rejected because of a limit, by limit")
+                         .Register(*registry_);
+    for (std::size_t i = 0; i < rejected_.size(); ++i) {
+        rejected_[i] = &rejected.Add({{"kind", std::string(get_name(static_cast<rejection>(i)))}});
+    }
     auto& calls = prometheus::BuildCounter()
                       .Name("jacinthvane_store_calls_total")
                       .Help("Calls to the platform's store by kind and result")
@@ -98,6 +132,12 @@
                           .Help("Bytes appended to journals")
                           .Register(*registry_)
                           .Add({});
+    reservation_held_ =
+        &prometheus::BuildCounter()
+             .Name("jacinthvane_reservation_held_seconds_total")
+             .Help("Time for which room was held for large tasks by reservations that have ended")
+             .Register(*registry_)
+             .Add({});
 }
 
 void metrics::add_gauges() {
@@ -116,6 +156,32 @@
                        .Help("1 if the process owns a cell and cannot start further jobs in time")
                        .Register(*registry_)
                        .Add({});
+    evacuated_domains_ = &prometheus::BuildGauge()
+                              .Name("jacinthvane_evacuated_failure_domains")
+                              .Help("Failure domains in which the owner of a cell starts nothing on request")
+                              .Register(*registry_)
+                              .Add({});
+    connections_ = &prometheus::BuildGauge()
+                        .Name("jacinthvane_connections")
+                        .Help("Open connections of clients on all ports")
+                        .Register(*registry_)
+                        .Add({});
+    auto& held = prometheus::BuildGauge()
+                     .Name("jacinthvane_connection_bytes")
+                     .Help("Memory of the connections of clients and of the responses that are being read")
+                     .Register(*registry_);
+    request_bytes_ = &held.Add({{"side", "clients"}});
+    response_bytes_ = &held.Add({{"side", "responses"}});
+    migrations_ = &prometheus::BuildCounter()
+                       .Name("jacinthvane_migrations_total")
+                       .Help("Best-effort tasks that were stopped to run on another upstream")
+                       .Register(*registry_)
+                       .Add({});
+    migration_gain_ = &prometheus::BuildCounter()
+                           .Name("jacinthvane_migration_gain_seconds_total")
+                           .Help("How much earlier migrated tasks were expected to end, in total")
+                           .Register(*registry_)
+                           .Add({});
     auto& members = prometheus::BuildGauge()
                         .Name("jacinthvane_members")
                         .Help("Members known to this process by state")
@@ -155,6 +221,10 @@
     refused_.at(index_of(kind))->Increment();
 }
 
+void metrics::count_rejected(rejection kind) {
+    rejected_.at(index_of(kind))->Increment();
+}
+
 void metrics::count_store_call(store_call_kind call, store_result result) {
     store_calls_.at(index_of(call)).at(index_of(result))->Increment();
 }
@@ -168,6 +238,10 @@
     journal_bytes_->Increment(static_cast<double>(bytes));
 }
 
+void metrics::count_reservation_held(double seconds) {
+    reservation_held_->Increment(seconds);
+}
+
 void metrics::observe(measured_time what, double seconds) {
     times_.at(index_of(what))->Observe(seconds);
 }
@@ -198,6 +272,22 @@
     overloaded_->Set(is_overloaded ? 1 : 0);
 }
 
+void metrics::set_evacuated_domains(std::uint64_t domains) {
+    evacuated_domains_->Set(static_cast<double>(domains));
+}
+
+void metrics::set_connection_usage(std::size_t connections, std::size_t request_bytes,
+                                   std::size_t response_bytes) {
+    connections_->Set(static_cast<double>(connections));
+    request_bytes_->Set(static_cast<double>(request_bytes));
+    response_bytes_->Set(static_cast<double>(response_bytes));
+}
+
+void metrics::count_migrations(std::uint64_t migrations, std::chrono::milliseconds expected_gain) {
+    migrations_->Increment(static_cast<double>(migrations));
+    migration_gain_->Increment(std::chrono::duration<double>(expected_gain).count());
+}
+
 std::uint64_t metrics::get_count(decision what) const {
     return static_cast<std::uint64_t>(decisions_.at(index_of(what))->Value());
 }
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -11,6 +13,7 @@
 #include "process/clock.hpp"
 #include "process/ids.hpp"
 #include "process/resource_vector.hpp"
+#include "process/return_ramp.hpp"
 #include "process/start_health.hpp"
 #include "process/tail_model.hpp"
 #include "process/task_ref.hpp"
@@ -65,6 +68,10 @@
     std::size_t crash_suspects = 0;
     // When the response that accepted the start order arrived.
     time_point accepted_at;
+    // Clock of the upstream in that response; 0 if there was none from the current incarnation.
+    std::int64_t accepted_clock_ms = 0;
+    // It was counted as a run at its estimated speed; see return_ramp.
+    bool is_speed_counted = false;
     // Start orders whose missing responses say something about the upstream.
     std::uint32_t failed_orders = 0;
     // Orders of the current phase that were sent again.
@@ -79,6 +86,9 @@
     std::int64_t absent_clock_ms = 0;
     // Progress in the last report, in percent; -1 before the first report.
     std::int32_t percent = -1;
+    // Progress in the first report, and when it arrived. The run may have begun at a checkpoint.
+    std::int32_t first_percent = -1;
+    time_point first_percent_at;
     // Clock of the upstream at the report in which the progress last changed.
     std::int64_t percent_changed_clock_ms = 0;
     std::int64_t load = 0;
@@ -109,6 +119,12 @@
     }
     // Derives the expected end from the progress that a report of this time shows.
     void update_expected_end(time_point now);
+    // Records the progress that a report of this time shows.
+    void record_percent(std::int32_t reported, time_point now);
+    // Returns how long the run will still take at its rate so far; nothing if too little is known of it.
+    std::optional<std::chrono::milliseconds> estimate_remaining_time(time_point now) const;
+    // Returns its speed so far, in percent of its work per millisecond; nothing if too little is known of it.
+    std::optional<double> estimate_percent_per_ms(time_point now) const;
     // Forgets what the previous incarnation reported about the run, and its clock.
     void expect_in_next_incarnation();
 };
@@ -204,6 +220,7 @@
     std::vector<ended_best_effort_task> ended_best_effort_tasks;
     upstream_health health;
     start_health starts;
+    return_ramp returning;
     // Its slot in the index of the scheduler.
     upstream_index::slot_number slot = 0;
     // Whether the scheduler looks for orders to send again here, and for best-effort tasks to move.
--- a/src/request/cell_load.cpp
+++ b/src/request/cell_load.cpp
@@ -14,6 +14,20 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// Counts what has become of reservations since the earlier totals.
+void count_reservations(const reservation_totals& earlier, const reservation_totals& totals,
+                        metrics& counters) {
+    counters.count(decision::reservation_created, totals.created - earlier.created);
+    counters.count(decision::reservation_used, totals.used - earlier.used);
+    counters.count(decision::reservation_cancelled, totals.cancelled - earlier.cancelled);
+    const std::chrono::duration<double> held = totals.held - earlier.held;
+    counters.count_reservation_held(held.count());
+}
+
+}  // namespace
+
 void cell_owner::record_query(std::size_t response_bytes) {
     std::lock_guard lock(mutex_);
     load_.add_query(response_bytes);
@@ -42,9 +56,11 @@
 
 awaitable<void> cell_owner::log_summaries() {
     constexpr milliseconds interval{1000};
+    reservation_totals counted;
     while (!is_over()) {
         co_await wait_until(std::chrono::steady_clock::now() + interval);
         cell_summary cell;
+        migration_count moved;
         std::string load;
         {
             std::lock_guard lock(mutex_);
@@ -54,6 +70,9 @@
                    " start_bytes_in_flight=" + std::to_string(link_.get_bytes_in_flight()) +
                    " response_median_ms=" + (median ? std::to_string(median->count()) : "none");
             cell = scheduler_.get_summary(std::chrono::steady_clock::now());
+            count_reservations(counted, scheduler_.get_reservations().get_totals(), metrics_);
+            counted = scheduler_.get_reservations().get_totals();
+            moved = scheduler_.take_migrations();
         }
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
                   << " waiting_serving=" << cell.waiting_serving
@@ -64,7 +83,10 @@
                   << " crossed=" << cell.over_target_upstreams << " capacity=" << cell.capacity_milli
                   << " committed=" << cell.committed_milli << " fillers=" << cell.running_best_effort
                   << " filler_milli=" << cell.best_effort_milli << " paced_milli=" << cell.limited_cpu_milli
-                  << " used_milli=" << cell.used_milli;
+                  << " used_milli=" << cell.used_milli << " late_fillers=" << cell.late_best_effort
+                  << " moved=" << moved.migrations << " moves_refused=" << moved.refused
+                  << " move_gain_ms=" << moved.expected_gain.count();
+        metrics_.count_migrations(moved.migrations, moved.expected_gain);
         LOG(INFO) << "event=owner_load token=" << claim_.row.token << " " << load;
     }
 }
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -19,6 +19,7 @@
 #include "process/metrics.hpp"
 #include "process/ordered_mutex.hpp"
 #include "process/owner_load.hpp"
+#include "process/response_budget.hpp"
 #include "process/response_times.hpp"
 #include "process/start_backlog.hpp"
 #include "process/work_pacer.hpp"
@@ -31,6 +32,8 @@
     cell_store store;
     registry_port registry;
     upstream_port upstreams;
+    // The memory of the responses of peers; null if only the limit of each response applies.
+    std::shared_ptr<response_budget> responses = nullptr;
 };
 
 // What the platform and the VM allow an owner.
@@ -98,8 +101,25 @@
     // Returns the highest token of an earlier owner that may have granted leases on the upstream.
     std::uint64_t get_granting_token(const upstream_id& id) const;
     awaitable<bool> load_upstreams();
+    awaitable<bool> load_evacuations();
+    // Calls the function until it succeeds or ownership is lost, and returns whether it succeeded.
+    awaitable<bool> retry_load(awaitable<bool> (cell_owner::*load_part)());
     awaitable<void> follow_jobs(std::uint64_t revision);
     awaitable<void> follow_upstreams(std::uint64_t revision);
+    // Writes the list of upstreams whenever it is outdated. Apart from the watch: the list of a large fleet
+    // takes seconds to write on a slow link, and an upstream that leaves must not get tasks meanwhile.
+    awaitable<void> keep_upstream_list();
+    awaitable<void> follow_evacuations(std::uint64_t revision);
+    // Applies a read that contains all evacuations that the store had accepted at a time. The machine had
+    // been suspended for this long in total when the read was sent.
+    void apply_evacuations(const evacuation_changes& changes, bool is_listing, time_point complete_until,
+                           time_point::duration suspended);
+    // Logs the first of several failed reads in a row, and the first that succeeds again.
+    void record_evacuation_read(const absl::Status& status);
+    // Whether the evacuations are known well enough to send start orders. Called with the mutex held.
+    bool is_evacuation_view_current() const;
+    // Whether start orders may be decided. Called with the mutex held.
+    bool may_start() const;
     // Waits for a moment until the applied ends of the upstream are durable. The upstream responds at once
     // while it has unacknowledged ends, so polling it before would be a busy loop. Returns false if the
     // upstream need not be polled any more.
@@ -192,6 +212,9 @@
     bool is_job_watch_failing_ = false;
     work_pacer pacer_;
     std::set<upstream_id> polled_upstreams_;
+    bool is_evacuation_read_failing_ = false;
+    // For how long the machine had been suspended in total when the last successful read was sent.
+    time_point::duration suspended_at_evacuation_read_{};
     bool is_over_ = false;
     bool is_loaded_ = false;
     bool is_stopping_ = false;
@@ -217,9 +240,11 @@
     tail_snapshot written_tails_;
     std::uint64_t jobs_revision_ = 0;
     std::uint64_t registry_revision_ = 0;
-    // Notified when a change may allow a scheduling decision, when progress waits to be written, and when a
-    // commit has been written.
+    std::uint64_t evacuations_revision_ = 0;
+    // Notified when a change may allow a scheduling decision, when the upstreams have changed, when progress
+    // waits to be written, and when a commit has been written.
     async_signal wake_;
+    async_signal upstreams_changed_;
     async_signal progress_;
     async_signal committed_;
 };
--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -4,7 +4,10 @@
 #include <chrono>
 #include <cmath>
 
+#include <glog/logging.h>
+
 #include "process/cpu_limit_plan.hpp"
+#include "process/task_urgency.hpp"
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -30,17 +33,30 @@
 constexpr std::int32_t full_cpu_limit_percent = 100;
 // Progress of a latency-critical task that has started up.
 constexpr std::int32_t full_progress_percent = 100;
-// Smaller changes of a CPU limit are not sent, unless they stop the task or lift its limit.
-constexpr std::int32_t cpu_limit_step_percent = 10;
+// Smaller changes of a CPU limit are not sent, unless they stop the task or lift its limit: the first while a
+// target is at risk, the second otherwise. Smaller steps give more orders, and not less time over the
+// targets.
+constexpr std::int32_t cpu_limit_step_percent = 15;
+constexpr std::int32_t calm_cpu_limit_step_percent = 20;
+// A raise that ends the task sooner by less than this is not sent.
+constexpr std::chrono::milliseconds min_saved_time{100};
+// A target is at risk if the best-effort tasks take this much headroom more than their budget: half of what
+// the budget leaves between the tail latency and its target.
+constexpr double risk_headroom = 0.1;
 // A best-effort task with a lower CPU limit is moved if another upstream can run it.
 constexpr std::int32_t slow_cpu_limit_percent = 25;
 constexpr std::chrono::milliseconds move_delay{1000};
 // A best-effort task without checkpoints loses its work when it is moved, so it waits longer for a higher
 // limit.
 constexpr std::chrono::milliseconds restart_move_delay{3500};
+// From the end of a stopped run until the next run of the task begins: the report of the end, a decision and
+// the start order.
+constexpr std::chrono::milliseconds restart_delay{300};
 // How often another upstream is sought for a slow task, and for how many tasks in one decision.
 constexpr std::chrono::milliseconds move_check_interval{400};
 constexpr std::size_t max_moves_per_decision = 12;
+// How long a measurement of the pace of an occurrence is used. Tasks end about 2 s after their start.
+constexpr std::chrono::milliseconds pace_interval{250};
 // Avoids a division by the size of a task that requests no processors.
 constexpr double min_share = 1e-6;
 // Parts of cell_limits::interference_limit after which, while a target is exceeded, first the best-effort
@@ -57,8 +73,34 @@
     return 1.0 - get_share(upstream.used_milli, upstream);
 }
 
-bool has_steady_cpu_limit(const run_record& run, time_point now) {
-    return now - run.cpu_limit_changed_at >= measurement_window;
+// Returns how much sooner the run ends with a higher CPU limit, by its progress so far.
+time_point::duration get_saved_time(const run_record& run, std::int32_t wanted, time_point now) {
+    if (run.percent <= 0 || run.cpu_limit_percent == 0) {
+        return time_point::duration::max();
+    }
+    const auto remaining = (now - run.started_at) * (full_progress_percent - run.percent) / run.percent;
+    return remaining * (wanted - run.cpu_limit_percent) / wanted;
+}
+
+// Whether the CPU limit of the run is changed now. A limit that protects a target is lowered at once. Other
+// changes wait until the last one has been measured, and a raise has to be worth its order.
+bool is_cpu_limit_due(const run_record& run, std::int32_t wanted, bool is_at_risk, time_point now) {
+    const auto current = run.cpu_limit_percent;
+    if (current == unknown_cpu_limit_percent) {
+        return true;
+    }
+    const bool is_steady = now - run.cpu_limit_changed_at >= measurement_window;
+    if (wanted <= current) {
+        if (is_at_risk || wanted == 0) {
+            return current - wanted >= cpu_limit_step_percent || (wanted == 0 && current > 0);
+        }
+        return current - wanted >= calm_cpu_limit_step_percent && is_steady;
+    }
+    const auto raise = wanted - current;
+    const bool doubles_speed = raise >= cpu_limit_step_percent && wanted >= 2 * current;
+    const bool is_change = raise >= calm_cpu_limit_step_percent || doubles_speed ||
+                           (raise > 0 && wanted == full_cpu_limit_percent);
+    return is_change && is_steady && get_saved_time(run, wanted, now) >= min_saved_time;
 }
 
 std::vector<best_effort_use> get_best_effort_tasks(const upstream_ledger& upstream) {
@@ -148,6 +190,7 @@
     auto& view = best_effort_views_[upstream.slot];
     if (view.decision != decision_) {
         view.decision = decision_;
+        view.computed_at = now;
         view.budgets = get_serving_budgets(upstream, now + placement_horizon);
         view.tasks = get_best_effort_tasks(upstream);
         view.loads = measure_interference(tail_model_, view.budgets, view.tasks);
@@ -247,14 +290,68 @@
     });
 }
 
+std::vector<double> cell_scheduler::plan_urgent_first(const upstream_ledger& upstream,
+                                                      const std::vector<serving_budget>& budgets,
+                                                      const std::vector<best_effort_use>& best_effort_tasks,
+                                                      time_point now) {
+    const double free_share = get_free_share(upstream);
+    auto cpu_limits = plan_cpu_limits(tail_model_, budgets, best_effort_tasks, free_share);
+    // Most reports come from upstreams where nothing is limited, and need no weights.
+    const bool is_limited = std::any_of(cpu_limits.begin(), cpu_limits.end(),
+                                        [](double limit) { return limit > 0 && limit < 1.0; });
+    if (!is_limited) {
+        return cpu_limits;
+    }
+    std::vector<double> weights;
+    weights.reserve(best_effort_tasks.size());
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.best_effort_milli > 0) {
+            weights.push_back(get_urgency_of(key, run, now));
+        }
+    }
+    return plan_weighted_cpu_limits(tail_model_, budgets, best_effort_tasks, weights, free_share);
+}
+
+double cell_scheduler::get_urgency_of(const run_key& key, const run_record& run, time_point now) {
+    auto* job = run.phase == run_phase::running ? find_job(key.first.job) : nullptr;
+    const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+    if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
+        return neutral_urgency;
+    }
+    auto& occurrence = job->occurrences.at(key.first.occurrence);
+    if (occurrence.pace.median_ends.empty() || now - occurrence.pace.measured_at >= pace_interval) {
+        occurrence.pace = measure_pace(*job, occurrence, now);
+    }
+    return get_urgency(occurrence.pace, key.first.step, task->expected_end, now);
+}
+
+bool cell_scheduler::is_target_at_risk(const upstream_ledger& upstream,
+                                       const std::vector<serving_budget>& budgets) const {
+    if (upstream.pressure_permille >= relaxed_pressure_permille ||
+        upstream.target_exceeded_since != time_point::max()) {
+        return true;
+    }
+    std::vector<best_effort_use> limited;
+    for (const auto& [key, run] : upstream.runs) {
+        if (run.best_effort_milli > 0) {
+            const auto percent = std::min(run.cpu_limit_percent, full_cpu_limit_percent);
+            limited.push_back({run.image, get_share(run.best_effort_milli * percent / 100, upstream)});
+        }
+    }
+    const auto loads = measure_interference(tail_model_, budgets, limited);
+    return std::any_of(loads.begin(), loads.end(), [](const serving_load& load) {
+        return load.interference > load.serving.budget + risk_headroom;
+    });
+}
+
 void cell_scheduler::update_cpu_limits(upstream_ledger& upstream, time_point now) {
     if (upstream.best_effort_milli == 0) {
         return;
     }
     const auto best_effort_tasks = get_best_effort_tasks(upstream);
     const auto budgets = get_serving_budgets(upstream, now + cpu_limit_horizon);
-    const auto cpu_limits =
-        plan_cpu_limits(tail_model_, budgets, best_effort_tasks, get_free_share(upstream));
+    const auto cpu_limits = plan_urgent_first(upstream, budgets, best_effort_tasks, now);
+    const bool is_at_risk = is_target_at_risk(upstream, budgets);
     // The plan lists the best-effort tasks in the order of upstream.runs.
     std::size_t index = 0;
     for (auto& [key, run] : upstream.runs) {
@@ -265,12 +362,7 @@
             static_cast<std::int32_t>(std::lround(cpu_limits[index] * full_cpu_limit_percent));
         const auto wanted = clamp_cpu_limit(upstream, best_effort_tasks[index], planned, now);
         ++index;
-        const bool is_change =
-            run.cpu_limit_percent == unknown_cpu_limit_percent ||
-            std::abs(wanted - run.cpu_limit_percent) >= cpu_limit_step_percent ||
-            (wanted != run.cpu_limit_percent && (wanted == 0 || wanted == full_cpu_limit_percent));
-        if (run.phase == run_phase::running && is_change &&
-            (wanted < run.cpu_limit_percent || has_steady_cpu_limit(run, now))) {
+        if (run.phase == run_phase::running && is_cpu_limit_due(run, wanted, is_at_risk, now)) {
             order_cpu_limit(upstream, key, run, wanted, now);
         }
     }
@@ -336,15 +428,57 @@
     }
 }
 
+migration_terms cell_scheduler::make_migration_terms(const slow_best_effort_task& slow,
+                                                     time_point now) const {
+    const auto& spec = slow.job->job->spec.steps[slow.ref.step];
+    const auto percent_per_ms = slow.run->estimate_percent_per_ms(now);
+    migration_terms terms;
+    terms.full_time = std::chrono::milliseconds(spec.estimated_ms);
+    terms.percent = slow.run->percent;
+    if (percent_per_ms) {
+        terms.speed = *percent_per_ms * static_cast<double>(spec.estimated_ms) / full_progress_percent;
+    }
+    terms.cpu_limit = static_cast<double>(std::min(slow.run->cpu_limit_percent, full_cpu_limit_percent)) /
+                      full_cpu_limit_percent;
+    terms.saves_checkpoints = spec.saves_checkpoints;
+    terms.restore_time = limits_.restore_time;
+    terms.stop_time = limits_.stop_timeout + restart_delay;
+    return terms;
+}
+
+void cell_scheduler::move_if_earlier(const slow_best_effort_task& slow, time_point now) {
+    auto terms = make_migration_terms(slow, now);
+    if (!get_migration_gain(terms)) {
+        // Not even another upstream at full speed would complete it clearly earlier.
+        ++migrations_.refused;
+        return;
+    }
+    // The task moves only if another upstream can run it now: here it would go on when the load falls.
+    const auto chosen = choose_upstream(*slow.job, slow.ref.get_step(), *slow.task, now);
+    if (!chosen || chosen->upstream == slow.upstream) {
+        return;
+    }
+    const best_effort_use use{slow.run->image, get_share(slow.run->best_effort_milli, *chosen->upstream)};
+    terms.new_speed = get_best_effort_gain(*chosen->upstream, use, now);
+    const auto gain = get_migration_gain(terms);
+    if (!gain) {
+        ++migrations_.refused;
+        return;
+    }
+    ++migrations_.migrations;
+    migrations_.expected_gain += *gain;
+    LOG(INFO) << "event=task_moved task=" << slow.ref.to_string()
+              << " upstream=" << slow.upstream->entry.id.get()
+              << " candidate=" << chosen->upstream->entry.id.get() << " percent=" << slow.run->percent
+              << " cpu_limit=" << slow.run->cpu_limit_percent << " expected_gain_ms=" << gain->count()
+              << " token=" << token_;
+    slow.task->avoided.push_back(slow.upstream->entry.id);
+    begin_stop(*slow.upstream, *slow.run, now);
+}
+
 void cell_scheduler::move_slow_best_effort_tasks(time_point now) {
-    for (const auto& best_effort_task : collect_slow_best_effort_tasks(now)) {
-        // The task moves only if another upstream can run it now: here it would go on when the load falls.
-        const auto chosen = choose_upstream(*best_effort_task.job, best_effort_task.ref.get_step(),
-                                            *best_effort_task.task, now);
-        if (chosen && chosen->upstream != best_effort_task.upstream) {
-            best_effort_task.task->avoided.push_back(best_effort_task.upstream->entry.id);
-            begin_stop(*best_effort_task.upstream, *best_effort_task.run, now);
-        }
+    for (const auto& slow : collect_slow_best_effort_tasks(now)) {
+        move_if_earlier(slow, now);
     }
 }
 
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -63,7 +63,7 @@
 
 bool cell_scheduler::is_start_pending(const start_order& order, time_point now) const {
     const auto found = upstreams_.find(order.upstream);
-    if (found == upstreams_.end()) {
+    if (found == upstreams_.end() || !evacuations_.allows_starts(now)) {
         return false;
     }
     const auto run = found->second.runs.find(run_key_view{order.task, order.run});
@@ -151,6 +151,7 @@
         case order_result::accepted:
             run->phase = run_phase::running;
             if (order.boot_unix_ms == upstream.boot_unix_ms) {
+                run->accepted_clock_ms = response.clock_ms;
                 run->seen_clock_ms = std::max(run->seen_clock_ms, response.clock_ms);
                 run->percent_changed_clock_ms = std::max(run->percent_changed_clock_ms, response.clock_ms);
             }
@@ -189,11 +190,14 @@
     }
     const bool is_local_cause =
         response.result == order_result::delayed || response.result == order_result::withdrawn;
-    // A delayed order may have waited behind others that the upstream leaves unanswered.
-    if (!is_local_cause || upstream.starts.is_failing()) {
+    // A delayed order may have waited behind others that the upstream leaves unanswered. An evacuation says
+    // nothing about the upstream.
+    if (!is_local_cause || (upstream.starts.is_failing() && !is_evacuated(upstream))) {
         avoid_upstream(order.task, order.upstream);
     }
-    release_run(upstream, {order.task, order.run}, now + order_repeat_delay);
+    // The task of an order that was withdrawn may start elsewhere at once.
+    const bool is_withdrawn = response.result == order_result::withdrawn;
+    release_run(upstream, {order.task, order.run}, is_withdrawn ? now : now + order_repeat_delay);
 }
 
 void cell_scheduler::record_start_health(upstream_ledger& upstream, const order_response& response,
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -34,6 +34,7 @@
     decisions.orders.swap(queued_orders_);
     starts_left_ = max_starts;
     has_held_starts_ = false;
+    may_start = may_start && evacuations_.allows_starts(now);
     repeat_orders(now, may_start, decisions.orders);
     if (!may_start) {
         return decisions;
@@ -47,7 +48,10 @@
     std::erase_if(unplaced_,
                   [&](const unplaced_kind& kind) { return now - kind.searched_at > max_search_age; });
     update_takeover(now);
-    for (auto* job : sort_waiting_jobs(now)) {
+    const auto order = sort_waiting_jobs(now);
+    maintain_reservations(order, now);
+    for (order_position_ = 0; order_position_ < order.size(); ++order_position_) {
+        auto* job = order[order_position_];
         if (starts_left_ == 0) {
             has_held_starts_ = true;
             break;
@@ -62,6 +66,9 @@
         }
         update_waiting(*job);
     }
+    create_reservations(now);
+    // Tasks that are moved rank after all that wait.
+    order_position_ = order.size();
     move_slow_best_effort_tasks(now);
     return decisions;
 }
@@ -105,6 +112,7 @@
     }
     const step_ref ref{job.id, occurrence.number, number};
     const auto& spec = job.job->spec.steps[number];
+    record_demand(spec, now);
     if (const auto* queue = find_queue(job); queue != nullptr && queue->advice) {
         request_advice(job, ref, now, decisions);
     }
@@ -127,6 +135,7 @@
         }
         const auto chosen = choose_upstream(job, ref, task, now);
         if (!chosen) {
+            record_unplaced_step(job, ref, task, now);
             // A task that has to be kept apart does not hold up the others of its step.
             if (!task.crashed_runs.empty()) {
                 continue;
@@ -177,6 +186,7 @@
     }
     search_.decision = 0;
     if (placements.size() < step.tasks.size()) {
+        record_unplaced_step(job, ref, step.tasks.front(), now);
         return;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -212,6 +222,7 @@
     }
     chosen.upstream->add_run(ref, run, record);
     mark_changed(*chosen.upstream);
+    use_reservation(ref.get_step(), *chosen.upstream, now);
     starts_left_ -= starts_left_ > 0 ? 1 : 0;
     if (spec.is_long_running) {
         // The start order is sent once the location is durable.
@@ -233,7 +244,9 @@
     order.ticket = ticket;
     // Without a lease from a poll, the run would end if the next poll came late.
     const bool has_lease = now + max_start_delay <= upstream.confirmed_lease_until;
-    order.lease_until_clock_ms = grant_lease(upstream, has_lease ? max_start_delay : limits_.max_lease, now);
+    const auto length =
+        std::min(has_lease ? max_start_delay : limits_.max_lease, get_longest_start_delay(now));
+    order.lease_until_clock_ms = grant_lease(upstream, length, now);
     order.boot_unix_ms = upstream.boot_unix_ms;
     return order;
 }
@@ -296,8 +309,12 @@
         return;
     }
     found->second.valid_until = valid_until;
-    for (const auto& [upstream, ticket] : allowed) {
-        found->second.tickets[upstream] = ticket;
+    for (const auto& [id, ticket] : allowed) {
+        const auto* upstream = find_upstream(id);
+        // Its evacuation may have begun after the request.
+        if (upstream == nullptr || !is_evacuated(*upstream)) {
+            found->second.tickets[id] = ticket;
+        }
     }
 }
 
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -15,11 +15,15 @@
 #include "process/cell_summary.hpp"
 #include "process/clock.hpp"
 #include "process/cpu_limit_plan.hpp"
+#include "process/evacuation_change.hpp"
 #include "process/ids.hpp"
 #include "process/job_progress.hpp"
 #include "process/job_record.hpp"
 #include "process/job_spec.hpp"
+#include "process/migration_gain.hpp"
 #include "process/owner_history.hpp"
+#include "process/placement_forecast.hpp"
+#include "process/reservation_table.hpp"
 #include "process/run_locations.hpp"
 #include "process/tail_model.hpp"
 #include "process/takeover_notes.hpp"
@@ -28,6 +32,7 @@
 #include "process/upstream_ledger.hpp"
 #include "process/upstream_order.hpp"
 #include "process/upstream_report.hpp"
+#include "version/evacuation_state.hpp"
 #include "version/queue_index.hpp"
 
 namespace jacinthvane {
@@ -149,6 +154,14 @@
     std::vector<upstream_entry> get_upstreams() const;
     const upstream_ledger* find_upstream(const upstream_id& id) const;
 
+    // Records the evacuated failure domains: a listing of all, or changes since the last call. Evacuations
+    // that were accepted before complete_until are included. Returns how many have begun or ended. Without
+    // cell_limits::evacuation_bound it need not be called; otherwise no task starts before the first call,
+    // nor when the last one is too long ago.
+    std::size_t apply_evacuations(const evacuation_changes& changes, bool is_listing,
+                                  time_point complete_until, time_point now);
+    const evacuation_state& get_evacuations() const { return evacuations_; }
+
     // The next poll of an upstream. It renews the lease only if may_renew is set, that is while ownership is
     // proven.
     poll_order make_poll(const upstream_id& id, time_point now, bool is_same_connection, bool may_renew);
@@ -176,6 +189,8 @@
 
     // Whether the last decision left tasks waiting because it might start no more of them.
     bool has_held_starts() const { return has_held_starts_; }
+    // Returns the migrations of best-effort tasks since the last call.
+    migration_count take_migrations() { return std::exchange(migrations_, migration_count()); }
     // How often all decisions so far have checked whether a step fits on an upstream, and at which cost.
     std::uint64_t get_evaluated_placements() const { return evaluated_placements_; }
 
@@ -237,6 +252,8 @@
     cell_summary get_summary(time_point now) const;
     // Returns the number of tasks of released steps that wait for an upstream.
     std::size_t count_waiting_tasks() const;
+    // The room that is held for large tasks, and what became of earlier reservations.
+    const reservation_table& get_reservations() const { return reservations_; }
 
     // The learned interference between images, which the next owner starts from.
     tail_snapshot make_tail_snapshot() const { return tail_model_.make_snapshot(); }
@@ -271,6 +288,12 @@
         // The lowest gain for which a best-effort task starts; see get_min_gain.
         double min_gain = 0;
     };
+    // A useful gain that an upstream offers a kind of best-effort task, but less than get_min_gain. The task
+    // may start there once the least gain has fallen this far, although the upstream has not changed.
+    struct low_gain {
+        upstream_index::slot_number slot = 0;
+        double gain = 0;
+    };
     // A search for the cheapest upstreams for the tasks of one step, in ascending order of cost. It evaluates
     // an upstream only when none of those evaluated before can be cheaper.
     struct step_search {
@@ -286,8 +309,16 @@
         std::vector<candidate> candidates;
         // The upstream of the last task, whose cost has changed with it.
         std::optional<upstream_index::slot_number> chosen;
-        // An upstream was not eligible for its gain only, so that it may be soon without a change.
-        bool has_low_gains = false;
+        // An upstream had room that is held for a job that ranks before.
+        bool has_held_room = false;
+        time_point complete_at;
+        // Upstreams that are not eligible for their gain only.
+        std::vector<low_gain> low_gains;
+    };
+    // A step of which a task fits nowhere, and the place of its job in the order of the decision.
+    struct unplaced_step {
+        step_ref step;
+        std::size_t position = 0;
     };
     // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
@@ -298,6 +329,7 @@
     struct best_effort_view {
         // The decision that it was computed for; 0 if it has to be computed again.
         std::uint64_t decision = 0;
+        time_point computed_at;
         std::vector<serving_budget> budgets;
         std::vector<serving_load> loads;
         std::vector<best_effort_use> tasks;
@@ -330,16 +362,28 @@
         // An upstream that is unproven may take these where it takes no others.
         bool is_long_running = false;
         bool is_gang = false;
-        // No upstream that has not changed after this revision of the index has room.
+        // Some room was held for another job, so that shorter tasks may fit.
+        bool has_held_room = false;
+        std::int64_t estimated_ms = 0;
+        std::string required_label;
+        // Set if the number of its tasks on one upstream is limited.
+        std::optional<step_ref> limited_step;
+        // No upstream that has not changed after this revision of the index has room, except for the low
+        // gains.
         std::uint64_t revision = 0;
+        std::vector<low_gain> low_gains;
         std::uint64_t decision = 0;
         time_point searched_at;
+        // When the last search that looked at all upstreams began.
+        time_point complete_at;
 
         // Whether a task of the other kind needs at least as much, so that it fits nowhere either.
         bool covers(const unplaced_kind& other) const {
             return service == other.service && is_best_effort == other.is_best_effort &&
                    is_long_running == other.is_long_running && is_gang == other.is_gang &&
-                   image == other.image && size.is_within(other.size);
+                   image == other.image && required_label == other.required_label &&
+                   limited_step == other.limited_step && size.is_within(other.size) &&
+                   (!has_held_room || estimated_ms <= other.estimated_ms);
         }
     };
 
@@ -359,6 +403,7 @@
     progress_commit::job_entry make_commit_entry(job_record& job, std::int64_t now_unix_ms) const;
     // Adds the waiting tasks to the summary (cell_summary.cpp).
     void count_waiting_tasks_by_kind(cell_summary& summary) const;
+    std::size_t count_late_best_effort(const upstream_ledger& upstream) const;
     // Returns the number of waiting tasks that the takeover holds back.
     std::size_t count_held_tasks(time_point now) const;
     std::size_t count_held_tasks_of(const job_record& job, time_point now) const;
@@ -463,6 +508,15 @@
     void update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now);
     // Sends the planned CPU limits where they differ enough from the current ones.
     void update_cpu_limits(upstream_ledger& upstream, time_point now);
+    // Plans CPU limits that divide the headroom by the urgency of the best-effort tasks; see
+    // task_urgency.hpp.
+    std::vector<double> plan_urgent_first(const upstream_ledger& upstream,
+                                          const std::vector<serving_budget>& budgets,
+                                          const std::vector<best_effort_use>& best_effort_tasks,
+                                          time_point now);
+    double get_urgency_of(const run_key& key, const run_record& run, time_point now);
+    // Whether a target is exceeded, or will be with the CPU limits in force.
+    bool is_target_at_risk(const upstream_ledger& upstream, const std::vector<serving_budget>& budgets) const;
     std::int32_t clamp_cpu_limit(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
                                  std::int32_t planned, time_point now) const;
     void order_cpu_limit(upstream_ledger& upstream, const run_key& key, run_record& run,
@@ -473,6 +527,9 @@
     void collect_slow_tasks_of(upstream_ledger& upstream, time_point now,
                                std::vector<slow_best_effort_task>& slow);
     void move_slow_best_effort_tasks(time_point now);
+    // Moves the task if another upstream is expected to complete it clearly earlier.
+    void move_if_earlier(const slow_best_effort_task& slow, time_point now);
+    migration_terms make_migration_terms(const slow_best_effort_task& slow, time_point now) const;
     // One entry for each latency-critical step on the upstream.
     std::vector<serving_budget> get_serving_budgets(const upstream_ledger& upstream, time_point until) const;
     // Throughput that all best-effort tasks of the upstream together gain if this one is added, as a share of
@@ -505,6 +562,23 @@
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
+    // Evacuations of failure domains (cell_evacuations.cpp)
+    bool is_evacuated(const upstream_ledger& upstream) const;
+    // How much later than now a start order that is sent now may take effect.
+    std::chrono::milliseconds get_longest_start_delay(time_point now) const;
+    // Withdraws start orders that were not sent, and tickets.
+    void begin_evacuation(const failure_domain_id& domain);
+    void end_evacuation(const failure_domain_id& domain, time_point now);
+    // Counts a run for the return of load to the upstream, if it is seen to be fast enough.
+    void observe_return(upstream_ledger& upstream, const task_ref& task, run_record& run,
+                        std::int32_t percent, time_point now) const;
+    // Whether tasks of the step wait that could run in an evacuated domain and nowhere else.
+    bool waits_for_evacuation(const job_record& job, const step_state& state, const step_spec& spec) const;
+    bool waits_for_evacuation(const job_record& job) const;
+    // Logs, at an interval, the jobs that wait for the end of an evacuation.
+    void log_waiting_for_evacuation(time_point now);
+    void log_evacuation(const char* event, const failure_domain_id& domain) const;
+
     // Decisions (cell_placement.cpp)
     // Learns, and logs, whether the runs of earlier owners have become known, or unknown again.
     void update_takeover(time_point now);
@@ -513,6 +587,35 @@
                     cell_decisions& decisions);
     void place_gang(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
 
+    // Room that is held for large tasks (cell_reservations.cpp)
+    void record_demand(const step_spec& spec, time_point now);
+    // Records that a task of the step fits nowhere, if room may be held for the step.
+    void record_unplaced_step(const job_record& job, const step_ref& step, const task_record& task,
+                              time_point now);
+    // Ends the reservations that are not justified any more. The jobs are in the order of the decision.
+    void maintain_reservations(const std::vector<job_record*>& order, time_point now);
+    // Updates the position of the reservation, and returns how it ends if it does.
+    std::optional<reservation_end> check_reservation(reservation& known,
+                                                     const std::vector<job_record*>& order, time_point now);
+    // Appends the usable upstreams with held room that are not in the list.
+    void add_held_slots(std::vector<upstream_index::slot_number>& slots) const;
+    void end_reservation(std::size_t index, reservation_end how, time_point now);
+    // A task of the step starts on the upstream.
+    void use_reservation(const step_ref& step, const upstream_ledger& upstream, time_point now);
+    // Whether a task of the step would delay a reservation on the upstream of a job that ranks before.
+    bool is_room_held(const upstream_ledger& upstream, const step_terms& terms, time_point now) const;
+    // Holds room for the steps that were recorded in this decision.
+    void create_reservations(time_point now);
+    room_demand make_room_demand(const unplaced_step& wanted, time_point now);
+    // Forecasts the room of the upstreams that may run the step and are not held for a job that ranks before.
+    std::vector<room_forecast> forecast_rooms(const unplaced_step& wanted, time_point now);
+    // Ends reservations of jobs that rank after this one, as far as they are in the way. Returns false if
+    // there is no place.
+    bool make_place_for_reservation(const unplaced_step& wanted, const std::vector<room_hold>& holds,
+                                    time_point now);
+    void add_reservations(const unplaced_step& wanted, const room_demand& demand,
+                          const std::vector<room_hold>& holds, time_point now);
+
     // Search for upstreams (cell_search.cpp)
     std::optional<placement> choose_upstream(const job_record& job, const step_ref& step,
                                              const task_record& task, time_point now);
@@ -521,13 +624,17 @@
     // Applies the marked changes to the index.
     void update_index(time_point now);
     // Whether tasks may start on the upstream if it responds.
-    static bool accepts_new_runs(const upstream_ledger& upstream, time_point now);
-    static bool is_usable(const upstream_ledger& upstream, time_point now);
+    bool accepts_new_runs(const upstream_ledger& upstream, time_point now) const;
+    bool is_usable(const upstream_ledger& upstream, time_point now) const;
     step_terms make_terms(const job_record& job, const step_ref& step, time_point now);
     // Continues the search for the step, or begins one.
     void resume_search(const job_record& job, const step_ref& step, const unplaced_kind& wanted,
                        time_point now);
     void begin_search(step_terms terms, const unplaced_kind& wanted, time_point now);
+    // Begins the search among the upstreams that can have room since an earlier one.
+    void begin_repeated_search(const unplaced_kind& known, time_point now);
+    // Whether the unused processors of the upstream, as last computed, are too few for a best-effort task.
+    bool is_known_full(upstream_index::slot_number slot, const step_terms& terms, time_point now) const;
     // Evaluates the upstream for the search.
     void add_candidate(upstream_index::slot_number slot, time_point now);
     // Evaluates further upstreams until no other one can be cheaper than the first candidate.
@@ -536,14 +643,14 @@
     // the task.
     upstream_ledger* choose_candidate(const task_record& task, const step_tickets* tickets, time_point now);
     // The kind of the task, as it is recorded if it fits nowhere.
-    unplaced_kind make_kind(const job_record& job, const step_spec& spec) const;
+    unplaced_kind make_kind(const job_record& job, const step_ref& step) const;
     // The last search that found no room for such a task.
     const unplaced_kind* find_unplaced(const unplaced_kind& wanted) const;
     void record_unplaced(unplaced_kind wanted, time_point now);
     // Returns the cost of a task of the step on the upstream, or nothing if it may not start there.
     std::optional<double> evaluate(const upstream_ledger& upstream, const step_terms& terms, time_point now);
     // Whether a usable upstream may run a task of the step and has room for it.
-    static bool has_room_for(const upstream_ledger& upstream, const step_terms& terms);
+    static bool has_room_for(const upstream_ledger& upstream, const step_terms& terms, time_point now);
 
     // Costs (cell_costs.cpp)
     static cost_bounds get_cost_bounds(const upstream_ledger& upstream);
@@ -564,6 +671,7 @@
     const std::uint64_t token_;
     const time_point owner_since_;
     owner_history history_;
+    evacuation_state evacuations_;
     std::uint64_t ended_before_ = 1;
     std::vector<lease_bound> lease_bounds_;
     bool has_freed_upstreams_ = false;
@@ -598,6 +706,12 @@
     std::vector<upstream_index::slot_number> slow_slots_;
     std::vector<upstream_index::slot_number> blocked_slots_;
     step_search search_;
+    reservation_table reservations_;
+    // Steps for which this decision may hold room, in the order of their jobs.
+    std::vector<unplaced_step> unplaced_steps_;
+    time_point next_reservation_scan_;
+    // Place of the job, whose tasks are being placed, in the order of the decision.
+    std::size_t order_position_ = 0;
     // Valid within one decision.
     std::size_t starts_left_ = 0;
     bool has_held_starts_ = false;
@@ -607,11 +721,13 @@
     bool has_inherited_leases_ = true;
     bool has_recorded_starts_ = false;
     std::uint64_t evaluated_placements_ = 0;
+    migration_count migrations_;
     // Number of the current decision. The views of earlier ones are kept for their memory only.
     std::uint64_t decision_ = 0;
     // By slot of the upstream.
     std::vector<best_effort_view> best_effort_views_;
     time_point next_maintenance_;
+    time_point next_evacuation_log_;
 };
 
 }  // namespace jacinthvane
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -33,7 +33,7 @@
     R"("Ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 const std::string settings_body =
     R"({"NodeId":"n","Ip":"10.0.0.1","Zone":"z","Region":"r","Listen":{"Front":"10.0.0.1:1","Ready":"10.0.0.1:2"},)"
-    R"("PortRange":[7720,7735],"Limits":{"CpuShare":0.25,"Cores":1},"platform":{"Addr":"10.0.0.2:3","MinTtlMs":1000},)"
+    R"("PortRange":[7720,7735],"Limits":{"CpuShare":0.25,"Cores":1,"MemoryMb":160,"MaxFds":4100},"platform":{"Addr":"10.0.0.2:3","MinTtlMs":1000},)"
     R"("Bounds":{"MaxHoldMs":10000,"StopTimeoutMs":400,"GraceS":6}})";
 const std::string changes_body =
     R"({"events":[{"Key":"k","Value":"bm9kZS0x","Rev":412,"CreatedAt":400},{"Key":"o","Rev":413,"Deleted":true}],"At":413})";
@@ -72,6 +72,30 @@
 
 BOOST_AUTO_TEST_SUITE(platform_codec)
 
+BOOST_AUTO_TEST_CASE(reads_the_bound_of_evacuations_where_there_is_one) {
+    const auto without = platform::decode_settings(settings_body);
+    BOOST_REQUIRE(without.ok());
+    BOOST_TEST(without->limits.evacuation_bound.count() == 0);
+    auto body = settings_body;
+    body.insert(body.find("\"MaxHoldMs\""), "\"EvacuateMs\":5000,");
+    const auto with = platform::decode_settings(body);
+    BOOST_REQUIRE(with.ok());
+    BOOST_TEST(with->limits.evacuation_bound.count() == 5000);
+}
+
+// Guards against a request for an evacuation that is lost since its value is damaged.
+BOOST_AUTO_TEST_CASE(an_unreadable_value_hides_no_evacuation) {
+    for (const std::string value : {R"("%")", "{}", "7", R"("bm9")"}) {
+        const auto items = R"([{"Key":"op/evacuate/z","Value":)" + value + R"(,"Rev":5}])";
+        const auto page = platform::decode_page(R"({"items":)" + items + R"(,"At":9})");
+        BOOST_REQUIRE(page.ok());
+        BOOST_TEST(page->listing.items.size() == 1U);
+        const auto changes = platform::decode_changes(R"({"events":)" + items + R"(,"At":9})");
+        BOOST_REQUIRE(changes.ok());
+        BOOST_TEST(changes->changes.size() == 1U);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(reads_a_job) {
     const auto spec = platform::decode_job(job_body);
     BOOST_REQUIRE(spec.ok());
@@ -152,6 +176,11 @@
         objects += "{\"a\":";
     }
     objects += "1" + std::string(depth, '}');
+    // Small as text, and many times larger as a decoded tree.
+    std::string many;
+    for (std::size_t i = 0; i < depth; ++i) {
+        many += "[],";
+    }
     const auto replace = [](const std::string& old_text, const std::string& new_text) {
         auto value = entry_value;
         value.replace(value.find(old_text), old_text.size(), new_text);
@@ -160,6 +189,7 @@
     const std::vector<std::string> cases = {
         nested,
         objects,
+        replace(R"("Labels")", R"("Other":[)" + many + R"([]],"Labels")"),
         replace(R"(["a","r1-3"])", nested),
         replace(R"("Labels")", R"("Other":)" + objects + R"(,"Labels")"),
         replace("2500", "1e30"),
@@ -271,6 +301,8 @@
     const auto settings = platform::decode_settings(settings_body);
     BOOST_REQUIRE(settings.ok());
     BOOST_TEST(settings->processors_milli == 250);
+    BOOST_TEST(settings->memory_mb == 160);
+    BOOST_TEST(settings->max_descriptors == 4100);
     BOOST_TEST((settings->limits.stop_timeout == std::chrono::milliseconds(400)));
     // The file allows a longer lease. A shorter one lets the tasks of an unresponsive upstream restart
     // sooner.
