--- a/src/process/cpu_limit_plan.cpp
+++ b/src/process/cpu_limit_plan.cpp
@@ -12,8 +12,6 @@
 constexpr double negligible_headroom_cost = 0.06;
 // Part of a budget that is divided equally. Without it, single tasks starve and delay their entire job.
 constexpr double equal_part = 0.25;
-// Sums of the same costs in another order differ by less.
-constexpr double rounding_error = 1e-9;
 
 double get_total_share(const std::vector<best_effort_use>& best_effort_tasks,
                        const std::vector<double>& cpu_limits) {
@@ -36,45 +34,21 @@
     return total;
 }
 
-// Best-effort tasks that request more processors than are free get less than they request, so they also
-// interfere less.
-double get_contention_factor(const std::vector<best_effort_use>& best_effort_tasks,
-                             const std::vector<double>& cpu_limits, double free_share) {
-    const double total = get_total_share(best_effort_tasks, cpu_limits);
-    return total > free_share ? std::max(free_share, 0.0) / total : 1.0;
-}
-
-// Returns the factor by which all best-effort tasks that interfere with the latency-critical task are slowed
-// down so that their total headroom cost stays within its budget; 1 if it is within the budget at full speed.
-double get_common_factor(const tail_model& model, const serving_budget& serving,
-                         const std::vector<best_effort_use>& best_effort_tasks, double contention_factor) {
+// Lowers the CPU limits of all best-effort tasks that interfere with the latency-critical task by the same
+// factor, so that their total headroom cost stays within its budget.
+void limit_to_budget(const tail_model& model, const serving_budget& serving,
+                     const std::vector<best_effort_use>& best_effort_tasks, double contention_factor,
+                     std::vector<double>& cpu_limits) {
     const double total = get_interference(model, serving.image, best_effort_tasks) * contention_factor;
     const double budget = std::max(serving.budget, 0.0);
-    return total <= budget ? 1.0 : budget / total;
-}
-
-void limit_by_factor(const tail_model& model, const serving_budget& serving,
-                     const std::vector<best_effort_use>& best_effort_tasks, double factor,
-                     std::vector<double>& cpu_limits) {
-    for (std::size_t i = 0; i < best_effort_tasks.size(); ++i) {
-        if (!has_negligible_interference(model, serving.image, best_effort_tasks[i])) {
-            cpu_limits[i] = std::min(cpu_limits[i], factor);
-        }
+    if (total <= budget) {
+        return;
     }
-}
-
-// Headroom that the best-effort tasks cost the latency-critical task under these CPU limits.
-double get_limited_interference(const tail_model& model, const serving_budget& serving,
-                                const std::vector<best_effort_use>& best_effort_tasks,
-                                const std::vector<double>& cpu_limits, double free_share) {
-    double total = 0;
     for (std::size_t i = 0; i < best_effort_tasks.size(); ++i) {
         if (!has_negligible_interference(model, serving.image, best_effort_tasks[i])) {
-            const double weight = model.get_weight(serving.image, best_effort_tasks[i].image);
-            total += weight * best_effort_tasks[i].share * cpu_limits[i];
+            cpu_limits[i] = std::min(cpu_limits[i], budget / total);
         }
     }
-    return total * get_contention_factor(best_effort_tasks, cpu_limits, free_share);
 }
 
 // A best-effort task among those that share a budget.
@@ -106,10 +80,12 @@
     }
 }
 
-void limit_by_weights(const tail_model& model, const serving_budget& serving,
-                      const std::vector<best_effort_use>& best_effort_tasks,
-                      const std::vector<double>& weights, double factor, std::vector<double>& cpu_limits) {
-    if (factor >= 1.0) {
+void limit_to_budget_by_weights(const tail_model& model, const serving_budget& serving,
+                                const std::vector<best_effort_use>& best_effort_tasks,
+                                const std::vector<double>& weights, std::vector<double>& cpu_limits) {
+    const double total = get_interference(model, serving.image, best_effort_tasks);
+    const double budget = std::max(serving.budget, 0.0);
+    if (total <= budget) {
         return;
     }
     std::vector<sharing_task> tasks;
@@ -119,8 +95,7 @@
             tasks.push_back({i, weight * best_effort_tasks[i].share, weights[i]});
         }
     }
-    const double total = get_interference(model, serving.image, best_effort_tasks);
-    divide_by_weights(std::move(tasks), factor, factor * total, cpu_limits);
+    divide_by_weights(std::move(tasks), budget / total, budget, cpu_limits);
 }
 
 }  // namespace
@@ -136,9 +111,11 @@
                                     double free_share) {
     std::vector<double> cpu_limits(best_effort_tasks.size(), 1.0);
     for (const auto& serving : servings) {
-        const double contention_factor = get_contention_factor(best_effort_tasks, cpu_limits, free_share);
-        const double factor = get_common_factor(model, serving, best_effort_tasks, contention_factor);
-        limit_by_factor(model, serving, best_effort_tasks, factor, cpu_limits);
+        // Best-effort tasks that request more processors than are free get less than they request, so they
+        // also interfere less.
+        const double total = get_total_share(best_effort_tasks, cpu_limits);
+        const double contention_factor = total > free_share ? std::max(free_share, 0.0) / total : 1.0;
+        limit_to_budget(model, serving, best_effort_tasks, contention_factor, cpu_limits);
     }
     return cpu_limits;
 }
@@ -147,23 +124,17 @@
                                              const std::vector<serving_budget>& servings,
                                              const std::vector<best_effort_use>& best_effort_tasks,
                                              const std::vector<double>& weights, double free_share) {
-    std::vector<double> plain(best_effort_tasks.size(), 1.0);
-    auto weighted = plain;
-    for (const auto& serving : servings) {
-        const double contention_factor = get_contention_factor(best_effort_tasks, plain, free_share);
-        const double factor = get_common_factor(model, serving, best_effort_tasks, contention_factor);
-        limit_by_factor(model, serving, best_effort_tasks, factor, plain);
-        limit_by_weights(model, serving, best_effort_tasks, weights, factor, weighted);
-    }
+    std::vector<double> cpu_limits(best_effort_tasks.size(), 1.0);
+    const bool is_contended = get_total_share(best_effort_tasks, cpu_limits) > free_share;
     const bool is_equal =
         std::adjacent_find(weights.begin(), weights.end(), std::not_equal_to<>()) == weights.end();
-    const bool is_allowed = std::all_of(servings.begin(), servings.end(), [&](const serving_budget& serving) {
-        const auto get_cost = [&](const std::vector<double>& cpu_limits) {
-            return get_limited_interference(model, serving, best_effort_tasks, cpu_limits, free_share);
-        };
-        return get_cost(weighted) <= std::max(serving.budget, get_cost(plain)) + rounding_error;
-    });
-    return is_equal || !is_allowed ? plain : weighted;
+    if (is_contended || is_equal) {
+        return plan_cpu_limits(model, servings, best_effort_tasks, free_share);
+    }
+    for (const auto& serving : servings) {
+        limit_to_budget_by_weights(model, serving, best_effort_tasks, weights, cpu_limits);
+    }
+    return cpu_limits;
 }
 
 std::vector<serving_load> measure_interference(const tail_model& model,
--- a/src/process/cpu_limit_plan.hpp
+++ b/src/process/cpu_limit_plan.hpp
@@ -27,10 +27,9 @@
 // Computes CPU limits like plan_cpu_limits, but divides the budget of each latency-critical task by weights:
 // a part of it equally, so that every task that plan_cpu_limits lets run gets at least that part of its limit
 // there, and the rest in proportion to the weights, up to full speed. The total headroom cost allowed by each
-// budget is the same. While the tasks contend for free processors, the cost depends on the limits of all of
-// them: the weights are ignored if a latency-critical task would then lose more than its budget and more than
-// under plan_cpu_limits. There is one positive weight for each best-effort task; equal weights have the same
-// result as plan_cpu_limits.
+// budget is the same. If the tasks contend for free processors, that cost depends on the limits of all of
+// them, so the weights are ignored there. There is one positive weight for each best-effort task; equal
+// weights have the same result as plan_cpu_limits.
 std::vector<double> plan_weighted_cpu_limits(const tail_model& model,
                                              const std::vector<serving_budget>& servings,
                                              const std::vector<best_effort_use>& best_effort_tasks,
