--- a/src/process/cell_summary.hpp
+++ b/src/process/cell_summary.hpp
@@ -31,8 +31,6 @@
     std::int64_t best_effort_milli = 0;
     std::int64_t limited_cpu_milli = 0;
     std::int64_t used_milli = 0;
-    // Those of them whose jobs could not meet their objectives when their headroom was last divided.
-    std::size_t late_best_effort = 0;
 
     bool operator==(const cell_summary&) const = default;
 };
--- a/src/process/cpu_limit_plan.cpp
+++ b/src/process/cpu_limit_plan.cpp
@@ -1,8 +1,6 @@
 #include "process/cpu_limit_plan.hpp"
 
 #include <algorithm>
-#include <functional>
-#include <utility>
 
 namespace jacinthvane {
 
@@ -10,8 +8,6 @@
 
 // Headroom below this cannot be distinguished from measurement errors.
 constexpr double negligible_headroom_cost = 0.06;
-// Part of a budget that is divided equally. Without it, single tasks starve and delay their entire job.
-constexpr double equal_part = 0.25;
 
 double get_total_share(const std::vector<best_effort_use>& best_effort_tasks,
                        const std::vector<double>& cpu_limits) {
@@ -51,53 +47,6 @@
     }
 }
 
-// A best-effort task among those that share a budget.
-struct sharing_task {
-    std::size_t index = 0;
-    double cost = 0;
-    double weight = 0;
-};
-
-// Raises the CPU limits of the tasks from the equal part of the common factor by their weights, until the
-// budget is used. The tasks with the largest weights reach full speed first; what they leave is divided among
-// the others.
-void divide_by_weights(std::vector<sharing_task> tasks, double factor, double budget,
-                       std::vector<double>& cpu_limits) {
-    std::sort(tasks.begin(), tasks.end(),
-              [](const sharing_task& left, const sharing_task& right) { return left.weight > right.weight; });
-    const double first = equal_part * factor;
-    const double max_rise = 1.0 - first;
-    double remaining = (1.0 - equal_part) * budget;
-    double weighted_cost = 0;
-    for (const auto& task : tasks) {
-        weighted_cost += task.cost * task.weight;
-    }
-    for (const auto& task : tasks) {
-        const double rise = std::min(task.weight * std::max(remaining, 0.0) / weighted_cost, max_rise);
-        cpu_limits[task.index] = std::min(cpu_limits[task.index], first + rise);
-        remaining -= task.cost * rise;
-        weighted_cost -= task.cost * task.weight;
-    }
-}
-
-void limit_to_budget_by_weights(const tail_model& model, const serving_budget& serving,
-                                const std::vector<best_effort_use>& best_effort_tasks,
-                                const std::vector<double>& weights, std::vector<double>& cpu_limits) {
-    const double total = get_interference(model, serving.image, best_effort_tasks);
-    const double budget = std::max(serving.budget, 0.0);
-    if (total <= budget) {
-        return;
-    }
-    std::vector<sharing_task> tasks;
-    for (std::size_t i = 0; i < best_effort_tasks.size(); ++i) {
-        if (!has_negligible_interference(model, serving.image, best_effort_tasks[i])) {
-            const double weight = model.get_weight(serving.image, best_effort_tasks[i].image);
-            tasks.push_back({i, weight * best_effort_tasks[i].share, weights[i]});
-        }
-    }
-    divide_by_weights(std::move(tasks), budget / total, budget, cpu_limits);
-}
-
 }  // namespace
 
 bool has_negligible_interference(const tail_model& model, image_index serving,
@@ -120,23 +69,6 @@
     return cpu_limits;
 }
 
-std::vector<double> plan_weighted_cpu_limits(const tail_model& model,
-                                             const std::vector<serving_budget>& servings,
-                                             const std::vector<best_effort_use>& best_effort_tasks,
-                                             const std::vector<double>& weights, double free_share) {
-    std::vector<double> cpu_limits(best_effort_tasks.size(), 1.0);
-    const bool is_contended = get_total_share(best_effort_tasks, cpu_limits) > free_share;
-    const bool is_equal =
-        std::adjacent_find(weights.begin(), weights.end(), std::not_equal_to<>()) == weights.end();
-    if (is_contended || is_equal) {
-        return plan_cpu_limits(model, servings, best_effort_tasks, free_share);
-    }
-    for (const auto& serving : servings) {
-        limit_to_budget_by_weights(model, serving, best_effort_tasks, weights, cpu_limits);
-    }
-    return cpu_limits;
-}
-
 std::vector<serving_load> measure_interference(const tail_model& model,
                                                const std::vector<serving_budget>& servings,
                                                const std::vector<best_effort_use>& best_effort_tasks) {
--- a/src/process/cpu_limit_plan.hpp
+++ b/src/process/cpu_limit_plan.hpp
@@ -24,17 +24,6 @@
 std::vector<double> plan_cpu_limits(const tail_model& model, const std::vector<serving_budget>& servings,
                                     const std::vector<best_effort_use>& best_effort_tasks, double free_share);
 
-// Computes CPU limits like plan_cpu_limits, but divides the budget of each latency-critical task by weights:
-// a part of it equally, so that every task that plan_cpu_limits lets run gets at least that part of its limit
-// there, and the rest in proportion to the weights, up to full speed. The total headroom cost allowed by each
-// budget is the same. If the tasks contend for free processors, that cost depends on the limits of all of
-// them, so the weights are ignored there. There is one positive weight for each best-effort task; equal
-// weights have the same result as plan_cpu_limits.
-std::vector<double> plan_weighted_cpu_limits(const tail_model& model,
-                                             const std::vector<serving_budget>& servings,
-                                             const std::vector<best_effort_use>& best_effort_tasks,
-                                             const std::vector<double>& weights, double free_share);
-
 // A latency-critical task, and the headroom that the best-effort tasks on its upstream cost it at full speed,
 // without those of negligible interference.
 struct serving_load {
--- a/src/process/job_order.cpp
+++ b/src/process/job_order.cpp
@@ -33,30 +33,9 @@
     return work;
 }
 
-// Share of the estimated duration that a step still takes.
-double get_remaining_share(const step_state& step) {
-    return step.is_done() ? 0.0 : step.get_waiting_tasks() > 0 ? 1.0 : running_remaining_share;
-}
-
-// The same by the reported progress of the task that is furthest behind.
-double get_reported_remaining_share(const step_state& step) {
-    if (step.is_done() || step.get_waiting_tasks() > 0) {
-        return get_remaining_share(step);
-    }
-    double share = 0;
-    for (const auto& task : step.tasks) {
-        if (task.phase == task_phase::active) {
-            share =
-                std::max(share, task.percent < 0 ? running_remaining_share : (100 - task.percent) / 100.0);
-        }
-    }
-    return share;
-}
-
 // Milliseconds that the longest chain of unfinished steps still takes if every task finds free capacity
 // immediately.
-double get_remaining_chain_ms(const job_spec& spec, const occurrence_record& occurrence,
-                              double (*get_share)(const step_state&)) {
+double get_remaining_chain_ms(const job_spec& spec, const occurrence_record& occurrence) {
     std::vector<double> finish(spec.steps.size(), 0);
     double longest = 0;
     for (std::size_t i = 0; i < spec.steps.size(); ++i) {
@@ -65,23 +44,15 @@
         for (const auto earlier : spec.steps[i].after) {
             start = std::max(start, finish[earlier]);
         }
-        finish[i] = start + get_share(step) * static_cast<double>(spec.steps[i].estimated_ms);
+        const double share = step.is_done()                 ? 0.0
+                             : step.get_waiting_tasks() > 0 ? 1.0
+                                                            : running_remaining_share;
+        finish[i] = start + share * static_cast<double>(spec.steps[i].estimated_ms);
         longest = std::max(longest, finish[i]);
     }
     return longest;
 }
 
-// The outlook of a job whose longest chain of unfinished steps still takes this long.
-job_outlook get_outlook_of_chain(double chain_ms, time_point objective, std::int64_t objective_ms,
-                                 time_point now) {
-    const auto finish = now + std::chrono::milliseconds(static_cast<std::int64_t>(chain_ms));
-    if (finish <= objective) {
-        return job_outlook::in_time;
-    }
-    const auto value_expires_at = objective + std::chrono::milliseconds((no_value_factor - 1) * objective_ms);
-    return finish > value_expires_at ? job_outlook::no_remaining_value : job_outlook::late;
-}
-
 }  // namespace
 
 double get_declared_work(const job_spec& spec) {
@@ -105,19 +76,19 @@
     for (const auto& [number, occurrence] : job.occurrences) {
         remaining += get_remaining_work(spec, occurrence);
         if (occurrence.objective == rank.objective) {
-            chain_ms = get_remaining_chain_ms(spec, occurrence, get_remaining_share);
+            chain_ms = get_remaining_chain_ms(spec, occurrence);
         }
     }
-    rank.outlook = get_outlook_of_chain(chain_ms, rank.objective, job.objective_ms, now);
+    const auto finish = now + std::chrono::milliseconds(static_cast<std::int64_t>(chain_ms));
+    const auto value_expires_at =
+        rank.objective + std::chrono::milliseconds((no_value_factor - 1) * job.objective_ms);
+    if (finish > rank.objective) {
+        rank.outlook = finish > value_expires_at ? job_outlook::no_remaining_value : job_outlook::late;
+    }
     const double share = mean_work > 0 ? get_declared_work(spec) / mean_work : 1.0;
     const double value = std::min(fixed_value + work_value * share, max_value);
     rank.cost_per_value = remaining / value;
     return rank;
 }
 
-job_outlook get_outlook(const job_record& job, const occurrence_record& occurrence, time_point now) {
-    const double chain_ms = get_remaining_chain_ms(job.job->spec, occurrence, get_reported_remaining_share);
-    return get_outlook_of_chain(chain_ms, occurrence.objective, job.objective_ms, now);
-}
-
 }  // namespace jacinthvane
--- a/src/process/job_order.hpp
+++ b/src/process/job_order.hpp
@@ -8,6 +8,9 @@
 
 namespace jacinthvane {
 
+// Whether a job can still meet its objective, and whether it has value if it cannot.
+enum class job_outlook { in_time, late, no_remaining_value };
+
 // Sort key of a job that waits for free capacity. Jobs with smaller ranks are placed first.
 struct job_rank {
     job_outlook outlook = job_outlook::in_time;
@@ -26,10 +29,6 @@
 // the mean work of the jobs of this queue, in thousandths of a processor times milliseconds.
 job_rank rank_job(const job_record& job, std::int32_t priority, double mean_work, time_point now);
 
-// Returns the outlook of one occurrence of a job if all its tasks run at full speed from now on. Unlike
-// rank_job, it considers the reported progress of running tasks.
-job_outlook get_outlook(const job_record& job, const occurrence_record& occurrence, time_point now);
-
 // Returns the work of all tasks of the job by its estimates, in thousandths of a processor times
 // milliseconds.
 double get_declared_work(const job_spec& spec);
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -46,9 +46,6 @@
     time_point not_before;
     // Upstreams where runs of this task failed or made no progress, the most recent one last.
     std::vector<upstream_id> avoided;
-    // Progress of the active run in percent, and when it will end at its rate so far; -1 and max if unknown.
-    std::int32_t percent = -1;
-    time_point expected_end = time_point::max();
 };
 
 // In-memory state of one step of one occurrence.
@@ -65,27 +62,12 @@
     bool is_done() const { return done_tasks == tasks.size(); }
 };
 
-// Whether a job can still meet its objective, and whether it has value if it cannot.
-enum class job_outlook { in_time, late, no_remaining_value };
-
-// What the urgency of the tasks of an occurrence is derived from; see task_urgency.hpp.
-struct occurrence_pace {
-    time_point measured_at;
-    job_outlook outlook = job_outlook::in_time;
-    // For each step, when the median of its started tasks ends or has ended; max if that is unknown.
-    std::vector<time_point> median_ends;
-
-    bool operator==(const occurrence_pace&) const = default;
-};
-
 // In-memory state of one scheduled occurrence of a job.
 struct occurrence_record {
     std::uint32_t number = 0;
     // Latest end that meets the objective.
     time_point objective;
     std::vector<step_state> steps;
-    // The last measurement, which is used for a short time.
-    occurrence_pace pace;
 
     bool is_done() const;
 };
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -14,7 +14,6 @@
 constexpr std::chrono::milliseconds proof_time{5000};
 // Progress is reported in whole percent, so less of it says little about the speed of a run.
 constexpr std::int32_t min_conclusive_percent = 10;
-constexpr std::int32_t full_percent = 100;
 // The rate of a run is known this long after the first report of its progress. Upstreams report every 0.3 s,
 // and the tasks that share headroom take about 2 s.
 constexpr std::chrono::milliseconds min_rate_time{200};
@@ -53,15 +52,6 @@
     return gained / elapsed.count();
 }
 
-std::optional<std::chrono::milliseconds> run_record::estimate_remaining_time(time_point now) const {
-    const auto percent_per_ms = estimate_percent_per_ms(now);
-    if (!percent_per_ms) {
-        return std::nullopt;
-    }
-    const double left = std::max(full_percent - percent, 0) / *percent_per_ms;
-    return std::chrono::milliseconds(static_cast<std::int64_t>(left));
-}
-
 void run_record::expect_in_next_incarnation() {
     is_incarnation_unknown = true;
     is_listed = false;
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -121,8 +121,6 @@
     void update_expected_end(time_point now);
     // Records the progress that a report of this time shows.
     void record_percent(std::int32_t reported, time_point now);
-    // Returns how long the run will still take at its rate so far; nothing if too little is known of it.
-    std::optional<std::chrono::milliseconds> estimate_remaining_time(time_point now) const;
     // Returns its speed so far, in percent of its work per millisecond; nothing if too little is known of it.
     std::optional<double> estimate_percent_per_ms(time_point now) const;
     // Forgets what the previous incarnation reported about the run, and its clock.
--- a/src/request/cell_load.cpp
+++ b/src/request/cell_load.cpp
@@ -83,9 +83,8 @@
                   << " crossed=" << cell.over_target_upstreams << " capacity=" << cell.capacity_milli
                   << " committed=" << cell.committed_milli << " fillers=" << cell.running_best_effort
                   << " filler_milli=" << cell.best_effort_milli << " paced_milli=" << cell.limited_cpu_milli
-                  << " used_milli=" << cell.used_milli << " late_fillers=" << cell.late_best_effort
-                  << " moved=" << moved.migrations << " moves_refused=" << moved.refused
-                  << " move_gain_ms=" << moved.expected_gain.count();
+                  << " used_milli=" << cell.used_milli << " moved=" << moved.migrations
+                  << " moves_refused=" << moved.refused << " move_gain_ms=" << moved.expected_gain.count();
         metrics_.count_migrations(moved.migrations, moved.expected_gain);
         LOG(INFO) << "event=owner_load token=" << claim_.row.token << " " << load;
     }
--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -7,7 +7,6 @@
 #include <glog/logging.h>
 
 #include "process/cpu_limit_plan.hpp"
-#include "process/task_urgency.hpp"
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -55,8 +54,6 @@
 // How often another upstream is sought for a slow task, and for how many tasks in one decision.
 constexpr std::chrono::milliseconds move_check_interval{400};
 constexpr std::size_t max_moves_per_decision = 12;
-// How long a measurement of the pace of an occurrence is used. Tasks end about 2 s after their start.
-constexpr std::chrono::milliseconds pace_interval{250};
 // Avoids a division by the size of a task that requests no processors.
 constexpr double min_share = 1e-6;
 // Parts of cell_limits::interference_limit after which, while a target is exceeded, first the best-effort
@@ -290,41 +287,6 @@
     });
 }
 
-std::vector<double> cell_scheduler::plan_urgent_first(const upstream_ledger& upstream,
-                                                      const std::vector<serving_budget>& budgets,
-                                                      const std::vector<best_effort_use>& best_effort_tasks,
-                                                      time_point now) {
-    const double free_share = get_free_share(upstream);
-    auto cpu_limits = plan_cpu_limits(tail_model_, budgets, best_effort_tasks, free_share);
-    // Most reports come from upstreams where nothing is limited, and need no weights.
-    const bool is_limited = std::any_of(cpu_limits.begin(), cpu_limits.end(),
-                                        [](double limit) { return limit > 0 && limit < 1.0; });
-    if (!is_limited) {
-        return cpu_limits;
-    }
-    std::vector<double> weights;
-    weights.reserve(best_effort_tasks.size());
-    for (const auto& [key, run] : upstream.runs) {
-        if (run.best_effort_milli > 0) {
-            weights.push_back(get_urgency_of(key, run, now));
-        }
-    }
-    return plan_weighted_cpu_limits(tail_model_, budgets, best_effort_tasks, weights, free_share);
-}
-
-double cell_scheduler::get_urgency_of(const run_key& key, const run_record& run, time_point now) {
-    auto* job = run.phase == run_phase::running ? find_job(key.first.job) : nullptr;
-    const auto* task = job == nullptr ? nullptr : job->find_task(key.first);
-    if (task == nullptr || task->phase != task_phase::active || task->last_run != key.second) {
-        return neutral_urgency;
-    }
-    auto& occurrence = job->occurrences.at(key.first.occurrence);
-    if (occurrence.pace.median_ends.empty() || now - occurrence.pace.measured_at >= pace_interval) {
-        occurrence.pace = measure_pace(*job, occurrence, now);
-    }
-    return get_urgency(occurrence.pace, key.first.step, task->expected_end, now);
-}
-
 bool cell_scheduler::is_target_at_risk(const upstream_ledger& upstream,
                                        const std::vector<serving_budget>& budgets) const {
     if (upstream.pressure_permille >= relaxed_pressure_permille ||
@@ -350,7 +312,8 @@
     }
     const auto best_effort_tasks = get_best_effort_tasks(upstream);
     const auto budgets = get_serving_budgets(upstream, now + cpu_limit_horizon);
-    const auto cpu_limits = plan_urgent_first(upstream, budgets, best_effort_tasks, now);
+    const auto cpu_limits =
+        plan_cpu_limits(tail_model_, budgets, best_effort_tasks, get_free_share(upstream));
     const bool is_at_risk = is_target_at_risk(upstream, budgets);
     // The plan lists the best-effort tasks in the order of upstream.runs.
     std::size_t index = 0;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -209,8 +209,6 @@
         task->upstream = upstream_id();
     }
     task->not_before = not_before;
-    task->percent = -1;
-    task->expected_end = time_point::max();
     const auto& spec = job.job->spec.steps[ref.step];
     if (spec.is_long_running) {
         task->not_before += get_crash_delay(task->crashed_runs.size());
@@ -339,13 +337,8 @@
     observe_return(upstream, row.task, *run, row.percent, now);
     auto* job = find_job(row.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(row.task);
-    if (task == nullptr || task->phase != task_phase::active || task->last_run != row.run) {
-        return;
-    }
-    const auto remaining = run->estimate_remaining_time(now);
-    task->percent = run->percent;
-    task->expected_end = remaining ? now + *remaining : time_point::max();
-    if (!row.checkpoint.empty()) {
+    if (task != nullptr && task->phase == task_phase::active && task->last_run == row.run &&
+        !row.checkpoint.empty()) {
         task->checkpoint = row.checkpoint;
     }
 }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -403,7 +403,6 @@
     progress_commit::job_entry make_commit_entry(job_record& job, std::int64_t now_unix_ms) const;
     // Adds the waiting tasks to the summary (cell_summary.cpp).
     void count_waiting_tasks_by_kind(cell_summary& summary) const;
-    std::size_t count_late_best_effort(const upstream_ledger& upstream) const;
     // Returns the number of waiting tasks that the takeover holds back.
     std::size_t count_held_tasks(time_point now) const;
     std::size_t count_held_tasks_of(const job_record& job, time_point now) const;
@@ -508,13 +507,6 @@
     void update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now);
     // Sends the planned CPU limits where they differ enough from the current ones.
     void update_cpu_limits(upstream_ledger& upstream, time_point now);
-    // Plans CPU limits that divide the headroom by the urgency of the best-effort tasks; see
-    // task_urgency.hpp.
-    std::vector<double> plan_urgent_first(const upstream_ledger& upstream,
-                                          const std::vector<serving_budget>& budgets,
-                                          const std::vector<best_effort_use>& best_effort_tasks,
-                                          time_point now);
-    double get_urgency_of(const run_key& key, const run_record& run, time_point now);
     // Whether a target is exceeded, or will be with the CPU limits in force.
     bool is_target_at_risk(const upstream_ledger& upstream, const std::vector<serving_budget>& budgets) const;
     std::int32_t clamp_cpu_limit(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -90,20 +90,6 @@
     return held;
 }
 
-std::size_t cell_scheduler::count_late_best_effort(const upstream_ledger& upstream) const {
-    const auto is_late = [&](const auto& entry) {
-        const auto& [key, run] = entry;
-        const auto job = run.best_effort_milli > 0 ? jobs_.find(key.first.job) : jobs_.end();
-        if (job == jobs_.end()) {
-            return false;
-        }
-        const auto occurrence = job->second.occurrences.find(key.first.occurrence);
-        return occurrence != job->second.occurrences.end() &&
-               occurrence->second.pace.outlook != job_outlook::in_time;
-    };
-    return static_cast<std::size_t>(std::count_if(upstream.runs.begin(), upstream.runs.end(), is_late));
-}
-
 cell_summary cell_scheduler::get_summary(time_point now) const {
     cell_summary summary;
     summary.jobs = jobs_.size();
@@ -116,7 +102,6 @@
                                !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
         if (is_usable) {
             count_upstream(upstream, summary);
-            summary.late_best_effort += count_late_best_effort(upstream);
         }
     }
     return summary;
--- a/tests/cpu_limit_plan_test.cpp
+++ b/tests/cpu_limit_plan_test.cpp
@@ -69,49 +69,6 @@
     BOOST_TEST(cpu_limits[1] == 0.0);
 }
 
-// Guards against weights that raise the tail latency over its target, or that starve a task: for random
-// budgets and weights, the headroom cost is that of the plan without weights, and no task gets less than a
-// quarter of what it has there. Equal weights change nothing.
-BOOST_AUTO_TEST_CASE(weights_divide_the_same_budget) {
-    known_images images;
-    std::mt19937 random(20261206);
-    std::uniform_real_distribution<double> budget(0.0, 2.0);
-    std::uniform_real_distribution<double> share(0.02, 0.12);
-    std::uniform_real_distribution<double> weight(0.05, 4.0);
-    for (int round = 0; round < 1000; ++round) {
-        std::vector<best_effort_use> tasks;
-        std::vector<double> weights;
-        for (int i = 0; i < 5; ++i) {
-            tasks.push_back({images.bad, share(random)});
-            weights.push_back(weight(random));
-        }
-        const std::vector<serving_budget> servings = {{images.serving, budget(random)}};
-        const auto plain = plan_cpu_limits(images.model, servings, tasks, 1.0);
-        const auto weighted = plan_weighted_cpu_limits(images.model, servings, tasks, weights, 1.0);
-        double plain_cost = 0;
-        double weighted_cost = 0;
-        for (std::size_t i = 0; i < tasks.size(); ++i) {
-            plain_cost += plain[i] * tasks[i].share;
-            weighted_cost += weighted[i] * tasks[i].share;
-            BOOST_TEST((weighted[i] >= plain[i] * 0.25 - 1e-9 && weighted[i] <= 1.0 + 1e-9));
-        }
-        BOOST_TEST(weighted_cost == plain_cost, boost::test_tools::tolerance(1e-9));
-        const std::vector<double> equal(tasks.size(), 0.3);
-        BOOST_TEST((plan_weighted_cpu_limits(images.model, servings, tasks, equal, 1.0) == plain));
-    }
-}
-
-// The headroom goes to the more urgent of two equal tasks first: it runs at full speed, and what it leaves
-// goes to the other one.
-BOOST_AUTO_TEST_CASE(urgent_tasks_reach_full_speed_first) {
-    known_images images;
-    const std::vector<best_effort_use> tasks(2, {images.bad, 0.1});
-    const auto cpu_limits =
-        plan_weighted_cpu_limits(images.model, {{images.serving, 0.7}}, tasks, {1.0 / 7.0, 4.0}, 1.0);
-    BOOST_TEST(cpu_limits[1] == 1.0, boost::test_tools::tolerance(1e-9));
-    BOOST_TEST(cpu_limits[0] == 0.4, boost::test_tools::tolerance(1e-9));
-}
-
 // Best-effort tasks that request more processors than are free cannot use them, so their interference is
 // computed from what they can use.
 BOOST_AUTO_TEST_CASE(counts_only_processors_that_tasks_can_use) {
--- a/tests/urgency_cell_test.cpp
+++ b/tests/migration_cell_test.cpp
@@ -70,16 +70,6 @@
         }
     }
 
-    std::int32_t get_cpu_limit(const std::string& id) const {
-        const auto* upstream = cell.scheduler->find_upstream(cell.entries[0].id);
-        for (const auto& [key, run] : upstream->runs) {
-            if (key.first.job.get() == id) {
-                return run.cpu_limit_percent;
-            }
-        }
-        return -1;
-    }
-
     // Stops both tasks at this progress, by a target that stays exceeded, beside an upstream that is free.
     migration_count stop_beside_free_upstream(std::int32_t percent) {
         cell.add_upstream("free");
@@ -102,24 +92,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(urgency_cell)
-
-// Without a limit, late jobs run at full speed. When the headroom falls, the task of the job that can be in
-// time keeps more of its speed, the other one still runs, and both together use what the budget allows.
-BOOST_AUTO_TEST_CASE(late_jobs_give_way_when_headroom_falls) {
-    shared_upstream shared;
-    BOOST_TEST(shared.get_cpu_limit("late") == 100);
-    BOOST_TEST(shared.get_cpu_limit("in-time") == 100);
-    shared.report.running[0].load = 46;
-    for (int i = 0; i < 6; ++i) {
-        shared.advance(milliseconds(300));
-        if (shared.get_cpu_limit("late") < 100) {
-            break;
-        }
-    }
-    BOOST_TEST(shared.get_cpu_limit("in-time") > shared.get_cpu_limit("late"));
-    BOOST_TEST(shared.get_cpu_limit("late") > 0);
-}
+BOOST_AUTO_TEST_SUITE(migration_cell)
 
 // Tasks without checkpoints that are stopped move to a free upstream if that ends them earlier. Guards
 // against moves that only repeat work: tasks that are nearly done stay.
