--- a/tests/upstream_list_test.cpp
+++ b/tests/upstream_list_test.cpp
@@ -26,7 +26,7 @@
 // reads no changes of upstreams meanwhile, and so starts tasks on one that is leaving.
 BOOST_AUTO_TEST_CASE(leaving_upstreams_are_seen_while_the_list_cannot_be_written) {
     upstream_process upstreams(3);
-    const auto entries = upstreams.get_entries();
+    const auto& entries = upstreams.get_entries();
     owner_process owner({entries[0], entries[1]}, owner_options());
     BOOST_REQUIRE(wait_for([&] { return owner.is_loaded(); }));
     memory_cell_store::faults faults;
@@ -46,7 +46,7 @@
     // Read with a pause of 0.3 s for each 500, they would take longer than the test waits.
     constexpr int other_changes = 120'000;
     upstream_process upstreams(2);
-    const auto entries = upstreams.get_entries();
+    const auto& entries = upstreams.get_entries();
     owner_process owner(entries, owner_options());
     BOOST_REQUIRE(wait_for([&] { return owner.is_loaded(); }));
     for (int i = 0; i < other_changes; ++i) {
