--- a/src/process/upstream_entry.hpp
+++ b/src/process/upstream_entry.hpp
@@ -29,6 +29,10 @@
     bool has_label(const std::string& label) const {
         return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
     }
+    // Whether it belongs to the service and has the label, as a task requires of the upstream that runs it.
+    bool is_suitable(const std::string& wanted_service, const std::string& required_label) const {
+        return service == wanted_service && has_label(required_label);
+    }
     // Returns the rack, which is the last label.
     std::string get_rack() const { return labels.empty() ? std::string() : labels.back(); }
 };
--- a/src/version/cell_evacuations.cpp
+++ b/src/version/cell_evacuations.cpp
@@ -104,8 +104,8 @@
     bool may_run_there = false;
     for (const auto& [id, upstream] : upstreams_) {
         const auto& entry = upstream.entry;
-        const bool may_run = upstream.is_listed && !entry.is_leaving && entry.service == service &&
-                             entry.has_label(spec.required_label) &&
+        const bool may_run = upstream.is_listed && !entry.is_leaving &&
+                             entry.is_suitable(service, spec.required_label) &&
                              spec.get_reserved_size().is_within(entry.capacity);
         if (may_run && !is_evacuated(upstream)) {
             return false;
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -84,8 +84,7 @@
         return false;
     }
     const auto& spec = job->second.job->spec.steps[ref.step];
-    if (upstream.entry.service != get_service(job->second) ||
-        !upstream.entry.has_label(spec.required_label)) {
+    if (!upstream.entry.is_suitable(get_service(job->second), spec.required_label)) {
         return false;
     }
     const auto* queue = find_queue(job->second);
--- a/src/version/cell_reservations.cpp
+++ b/src/version/cell_reservations.cpp
@@ -205,8 +205,7 @@
     for (const auto& ranked : index_.get_ranking(placement_kind::reserved)) {
         const auto& upstream = index_.get_upstream(ranked.slot);
         const auto* known = reservations_.find(ranked.slot);
-        const bool is_suitable = upstream.entry.service == service &&
-                                 upstream.entry.has_label(spec.required_label) &&
+        const bool is_suitable = upstream.entry.is_suitable(service, spec.required_label) &&
                                  upstream.unknown_size_runs == 0 && !upstream.health.is_on_trial() &&
                                  spec.get_reserved_size().is_within(upstream.entry.capacity);
         const bool is_taken = (known != nullptr && known->position <= wanted.position) ||
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -316,7 +316,7 @@
     if (!spec.get_reserved_size().is_within(upstream.get_room()) || upstream.unknown_size_runs > 0) {
         return false;
     }
-    if (entry.service != terms.service || !entry.has_label(spec.required_label)) {
+    if (!entry.is_suitable(terms.service, spec.required_label)) {
         return false;
     }
     if (upstream.health.is_on_trial() && count_finite_runs(upstream) > 0) {
