--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -21,6 +21,11 @@
 constexpr milliseconds min_order_timeout{600};
 // Interval at which deadlines are checked when nothing else changes.
 constexpr milliseconds idle_interval{100};
+// A stopping owner writes the batch in progress and the one with all that has arrived by then. Under load
+// more arrives all the time, and nothing starts until the next owner takes over. That owner reads from the
+// lists of the upstreams which ends were not written.
+constexpr int hand_over_batches = 2;
+constexpr milliseconds max_hand_over_write_time{500};
 
 }  // namespace
 
@@ -111,7 +116,9 @@
         std::lock_guard lock(mutex_);
         is_stopping_ = true;
     }
-    while (std::chrono::steady_clock::now() < deadline) {
+    const auto write_deadline =
+        std::min(deadline, std::chrono::steady_clock::now() + max_hand_over_write_time);
+    for (int batch = 0; batch < hand_over_batches; ++batch) {
         const auto seen = committed_.get_count();
         {
             std::lock_guard lock(mutex_);
@@ -120,10 +127,10 @@
             }
         }
         progress_.notify_all();
-        co_await committed_.wait(seen, deadline);
+        co_await committed_.wait(seen, write_deadline);
     }
     if (is_loaded()) {
-        co_await write_tails(deadline);
+        co_await write_tails(write_deadline);
     }
     end("stopped");
 }
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -293,6 +293,28 @@
     });
 }
 
+// Guards against a hand-over that waits until all progress is written: under load more arrives all the time,
+// and nothing started until the grace period had passed. Here nothing can be written at all.
+BOOST_AUTO_TEST_CASE(hands_over_although_progress_is_left_to_write) {
+    cell_parts cell;
+    const auto member = cell.add_member("one");
+    job_submission jobs(cell.context, cell_store(cell.store), member, cell.counters);
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        const auto rules = make_rules();
+        const auto spec = make_spec(3);
+        const auto accepted =
+            co_await jobs.submit(rules, job_id("00000000000000aa"), spec, after(seconds(2)));
+        BOOST_TEST(accepted.ok());
+        cell.store->set_faults({true, false});
+        co_await wait_until(after(milliseconds(600)));
+        const auto started_at = std::chrono::steady_clock::now();
+        co_await member->stop(after(seconds(12)));
+        BOOST_TEST((std::chrono::steady_clock::now() - started_at < seconds(6)));
+        BOOST_TEST(member->get_owner()->is_over());
+    });
+}
+
 // Guards against a busy loop of store calls after the store has discarded its history: each watch began at an
 // unavailable revision and failed at once, which caused 1,000 calls per second.
 BOOST_AUTO_TEST_CASE(limits_store_calls_after_the_history_is_unavailable) {
