Give CPU time to best-effort tasks in the order of their jobs' ranks

CPU limits now follow the ranks (take_cpu_limit), placement may take CPU time from tasks of clearly later ranks, and the durations and the used processors are learned from progress and ends (duration_model, run_record::use_ratio).

--- a/src/process/cell_summary.hpp
+++ b/src/process/cell_summary.hpp
@@ -8,6 +8,10 @@
 // Load of a cell at one moment, for logs and operators. Processor amounts are in thousandths of a processor.
 struct cell_summary {
     std::size_t jobs = 0;
+    // Jobs that can end no more before their objective, and those of them that will have no value to their
+    // callers.
+    std::size_t late_jobs = 0;
+    std::size_t worthless_jobs = 0;
     // Tasks of released steps that wait for an upstream with free capacity, by kind.
     std::size_t waiting_serving = 0;
     std::size_t waiting_best_effort = 0;
--- a/src/process/cpu_limit_plan.hpp
+++ b/src/process/cpu_limit_plan.hpp
@@ -14,18 +14,25 @@
     bool operator==(const serving_budget&) const = default;
 };
 
-// Computes CPU limits that prevent the best-effort tasks of an upstream from raising the tail latency of a
-// latency-critical task above its target. The budgets of all latency-critical tasks are respected. For each
-// of them, the best-effort tasks that interfere with it are limited by the same factor, and those with
-// negligible interference are not limited. Stopping the tasks with the highest cost instead would starve
-// single tasks of each job and delay the entire job. free_share is the share of the upstream's processors
-// that the other tasks leave unused. Returns the CPU limit of each best-effort task, as a fraction of full
-// speed from 0 to 1.
-std::vector<double> plan_cpu_limits(const tail_model& model, const std::vector<serving_budget>& servings,
-                                    const std::vector<best_effort_use>& best_effort_tasks, double free_share);
-
-// A latency-critical task, and the headroom that the best-effort tasks on its upstream cost it at full speed,
-// without those of negligible interference.
+// Room on an upstream that is left for further best-effort tasks: the budgets of its latency-critical tasks,
+// and the processors that nobody uses, as a share of all.
+struct best_effort_room {
+    std::vector<serving_budget> servings;
+    double free_share = 0;
+
+    bool operator==(const best_effort_room&) const = default;
+};
+
+// Returns the CPU limit that the room allows the best-effort task, as a fraction of full speed from 0 to 1,
+// and takes what it uses from the room. With it the task raises no tail latency above its target. Called for
+// one task after another in the order of their jobs' ranks, it gives the first ones full speed and leaves the
+// rest to the others: with equal limits all jobs would be slow, and end too late, when only some of them need
+// to be. Giving way in the order of the costs instead would starve single tasks of each job and delay the
+// entire job.
+double take_cpu_limit(const tail_model& model, best_effort_room& room, const best_effort_use& task);
+
+// A latency-critical task, and the headroom that the best-effort tasks on its upstream cost it, without those
+// of negligible interference.
 struct serving_load {
     serving_budget serving;
     double interference = 0;
@@ -37,17 +44,6 @@
                                                const std::vector<serving_budget>& servings,
                                                const std::vector<best_effort_use>& best_effort_tasks);
 
-// Returns the CPU limit that plan_cpu_limits gives a best-effort task that is added, as long as all
-// best-effort tasks together request no more processors than are free. At a limit of 1, the limits of the
-// other tasks stay as they are. Much cheaper than a new plan.
-double get_added_cpu_limit(const tail_model& model, const std::vector<serving_load>& loads,
-                           const best_effort_use& added);
-
-// Returns the processors that the best-effort tasks use under these CPU limits, as a share of the upstream's
-// processors.
-double get_planned_use(const std::vector<best_effort_use>& best_effort_tasks,
-                       const std::vector<double>& cpu_limits, double free_share);
-
 // Returns true if the headroom that the best-effort task costs the latency-critical task is negligible.
 bool has_negligible_interference(const tail_model& model, image_index serving,
                                  const best_effort_use& best_effort_task);
--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -10,6 +10,7 @@
 #include "process/clock.hpp"
 #include "process/ids.hpp"
 #include "process/job_progress.hpp"
+#include "process/job_rank.hpp"
 #include "process/job_spec.hpp"
 #include "process/task_ref.hpp"
 
@@ -44,6 +45,10 @@
     std::string checkpoint;
     // Earliest time of the next run after a failed run.
     time_point not_before;
+    // How long the task takes at full speed, in milliseconds, by its runs so far; 0 if unknown.
+    double measured_ms = 0;
+    // Progress of the active run, or of the one that ended with the checkpoint, in percent.
+    std::int32_t percent = 0;
     // Upstreams where runs of this task failed or made no progress, the most recent one last.
     std::vector<upstream_id> avoided;
 };
@@ -89,6 +94,9 @@
     // The store may have a record of the locations of its runs.
     bool has_stored_locations = false;
     bool has_started = false;
+    // Its rank, and when it was computed.
+    job_rank rank;
+    time_point ranked_at;
     // Final phase that is not committed to the store yet; queued means that there is none.
     job_phase pending_end = job_phase::queued;
 
--- a/src/process/metrics.cpp
+++ b/src/process/metrics.cpp
@@ -156,6 +156,11 @@
                        .Help("1 if the process owns a cell and cannot start further jobs in time")
                        .Register(*registry_)
                        .Add({});
+    late_jobs_ = &prometheus::BuildGauge()
+                      .Name("jacinthvane_late_jobs")
+                      .Help("Jobs of the cell that can end no more before their objective.")
+                      .Register(*registry_)
+                      .Add({});
     evacuated_domains_ = &prometheus::BuildGauge()
                               .Name("jacinthvane_evacuated_failure_domains")
                               .Help("Failure domains in which the owner of a cell starts nothing on request")
@@ -272,6 +277,10 @@
     overloaded_->Set(is_overloaded ? 1 : 0);
 }
 
+void metrics::set_late_jobs(std::uint64_t jobs) {
+    late_jobs_->Set(static_cast<double>(jobs));
+}
+
 void metrics::set_evacuated_domains(std::uint64_t domains) {
     evacuated_domains_->Set(static_cast<double>(domains));
 }
--- a/src/process/metrics.hpp
+++ b/src/process/metrics.hpp
@@ -105,6 +105,8 @@
     void set_overloaded(bool is_overloaded);
     // Failure domains in which this process, as the owner of a cell, starts nothing at an operator's request.
     void set_evacuated_domains(std::uint64_t domains);
+    // Jobs that can end no more before their objective.
+    void set_late_jobs(std::uint64_t jobs);
     // What the connections of clients, and the responses that are being read, hold at present.
     void set_connection_usage(std::size_t connections, std::size_t request_bytes, std::size_t response_bytes);
     // Counts migrations of best-effort tasks, and how much earlier they are expected to end.
@@ -143,6 +145,7 @@
     prometheus::Gauge* ready_ = nullptr;
     prometheus::Gauge* overloaded_ = nullptr;
     prometheus::Gauge* evacuated_domains_ = nullptr;
+    prometheus::Gauge* late_jobs_ = nullptr;
     prometheus::Gauge* connections_ = nullptr;
     prometheus::Gauge* request_bytes_ = nullptr;
     prometheus::Gauge* response_bytes_ = nullptr;
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -34,6 +34,19 @@
     expected_end = accepted_at + (now - accepted_at) * 100 / percent;
 }
 
+void run_record::count_work(time_point now) {
+    const auto from = std::max(counted_until, accepted_at == time_point() ? started_at : accepted_at);
+    if (from < now) {
+        full_speed_time += std::min(cpu_limit_percent, full_cpu_limit_percent) / 100.0 * (now - from);
+    }
+    counted_until = now;
+}
+
+double run_record::estimate_full_time_ms(std::int32_t done_percent) const {
+    return is_fresh && done_percent >= min_conclusive_percent ? full_speed_time.count() * 100.0 / done_percent
+                                                              : 0.0;
+}
+
 void run_record::record_percent(std::int32_t reported, time_point now) {
     if (percent < 0) {
         first_percent = reported;
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -12,6 +12,7 @@
 
 #include "process/clock.hpp"
 #include "process/ids.hpp"
+#include "process/job_rank.hpp"
 #include "process/resource_vector.hpp"
 #include "process/return_ramp.hpp"
 #include "process/start_health.hpp"
@@ -34,6 +35,7 @@
 
 // CPU limit, in percent, of a best-effort task for which it is unknown whether the last order took effect, as
 // after a takeover. It differs from every valid limit, so the next poll sends a new order.
+constexpr std::int32_t full_cpu_limit_percent = 100;
 constexpr std::int32_t unknown_cpu_limit_percent = 101;
 
 // A run that may exist on an upstream. Its resources stay committed as long as the record exists.
@@ -92,6 +94,15 @@
     // Clock of the upstream at the report in which the progress last changed.
     std::int64_t percent_changed_clock_ms = 0;
     std::int64_t load = 0;
+    // Rank of its job when its CPU limit was last planned, for a best-effort task.
+    job_rank rank;
+    // Share of its requested processors that a best-effort task uses at full speed; 0 if unknown.
+    double use_ratio = 0;
+    // The run began without a checkpoint.
+    bool is_fresh = false;
+    // How long its work so far would have taken at full speed, and until when that is counted.
+    std::chrono::duration<double, std::milli> full_speed_time{0};
+    time_point counted_until;
     // Upstreams that crashed under earlier runs of the task.
     std::uint32_t earlier_crashes = 0;
     image_index image = 0;
@@ -119,6 +130,11 @@
     }
     // Derives the expected end from the progress that a report of this time shows.
     void update_expected_end(time_point now);
+    // Counts the work since it was counted last, or since its start, at the speed of the CPU limit in force.
+    void count_work(time_point now);
+    // Returns how long the whole task takes at full speed, in milliseconds, if this much of it, in percent,
+    // was done by the last report; 0 if too little is known.
+    double estimate_full_time_ms(std::int32_t done_percent) const;
     // Records the progress that a report of this time shows.
     void record_percent(std::int32_t reported, time_point now);
     // Returns its speed so far, in percent of its work per millisecond; nothing if too little is known of it.
--- a/src/request/cell_load.cpp
+++ b/src/request/cell_load.cpp
@@ -75,6 +75,7 @@
             moved = scheduler_.take_migrations();
         }
         LOG(INFO) << "event=cell_summary token=" << claim_.row.token << " jobs=" << cell.jobs
+                  << " late=" << cell.late_jobs << " worthless=" << cell.worthless_jobs
                   << " waiting_serving=" << cell.waiting_serving
                   << " waiting_fillers=" << cell.waiting_best_effort
                   << " waiting_others=" << cell.waiting_others << " held=" << cell.held_tasks
@@ -85,6 +86,7 @@
                   << " filler_milli=" << cell.best_effort_milli << " paced_milli=" << cell.limited_cpu_milli
                   << " used_milli=" << cell.used_milli << " moved=" << moved.migrations
                   << " moves_refused=" << moved.refused << " move_gain_ms=" << moved.expected_gain.count();
+        metrics_.set_late_jobs(cell.late_jobs);
         metrics_.count_migrations(moved.migrations, moved.expected_gain);
         LOG(INFO) << "event=owner_load token=" << claim_.row.token << " " << load;
     }
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -103,6 +103,7 @@
         }
         is_over_ = true;
         metrics_.set_evacuated_domains(0);
+        metrics_.set_late_jobs(0);
     }
     LOG(INFO) << "event=ownership_ended token=" << claim_.row.token << " reason=\"" << reason << "\"";
     wake_.notify_all();
--- a/src/version/cell_costs.cpp
+++ b/src/version/cell_costs.cpp
@@ -98,9 +98,9 @@
 }
 
 best_effort_use cell_scheduler::get_best_effort_use(const upstream_ledger& upstream,
-                                                    const step_terms& terms) {
+                                                    const step_terms& terms) const {
     const auto processors = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
-    const auto size = static_cast<double>(terms.spec->size.get_processors_milli());
+    const auto size = static_cast<double>(terms.spec->size.get_processors_milli()) * mean_use_ratio_;
     return {terms.image, size / static_cast<double>(processors)};
 }
 
--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -7,6 +7,7 @@
 #include <glog/logging.h>
 
 #include "process/cpu_limit_plan.hpp"
+#include "process/job_order.hpp"
 #include "version/cell_scheduler.hpp"
 
 namespace jacinthvane {
@@ -29,7 +30,6 @@
 // on the target counts as exceeded and it grows.
 constexpr std::int64_t relaxed_pressure_permille = 850;
 constexpr std::int64_t exceeded_pressure_permille = 950;
-constexpr std::int32_t full_cpu_limit_percent = 100;
 // Progress of a latency-critical task that has started up.
 constexpr std::int32_t full_progress_percent = 100;
 // Smaller changes of a CPU limit are not sent, unless they stop the task or lift its limit: the first while a
@@ -44,16 +44,13 @@
 constexpr double risk_headroom = 0.1;
 // A best-effort task with a lower CPU limit is moved if another upstream can run it.
 constexpr std::int32_t slow_cpu_limit_percent = 25;
-constexpr std::chrono::milliseconds move_delay{1000};
-// A best-effort task without checkpoints loses its work when it is moved, so it waits longer for a higher
-// limit.
-constexpr std::chrono::milliseconds restart_move_delay{3500};
-// From the end of a stopped run until the next run of the task begins: the report of the end, a decision and
-// the start order.
-constexpr std::chrono::milliseconds restart_delay{300};
-// How often another upstream is sought for a slow task, and for how many tasks in one decision.
-constexpr std::chrono::milliseconds move_check_interval{400};
-constexpr std::size_t max_moves_per_decision = 12;
+// How long the rank of a job is taken as known for the CPU limits of its tasks.
+constexpr std::chrono::milliseconds rank_interval{200};
+// Lower CPU limits say little about what a task would use at full speed.
+constexpr std::int32_t min_conclusive_cpu_limit_percent = 40;
+// A task that competes for processors seems to use less than it would.
+constexpr double min_use_ratio = 0.6;
+constexpr double use_ratio_rate = 0.002;
 // Avoids a division by the size of a task that requests no processors.
 constexpr double min_share = 1e-6;
 // Parts of cell_limits::interference_limit after which, while a target is exceeded, first the best-effort
@@ -100,14 +97,22 @@
     return is_change && is_steady && get_saved_time(run, wanted, now) >= min_saved_time;
 }
 
-std::vector<best_effort_use> get_best_effort_tasks(const upstream_ledger& upstream) {
-    std::vector<best_effort_use> best_effort_tasks;
-    for (const auto& [key, run] : upstream.runs) {
-        if (run.best_effort_milli > 0) {
-            best_effort_tasks.push_back({run.image, get_share(run.best_effort_milli, upstream)});
+using run_entry = std::pair<const run_key, run_record>;
+
+// Best-effort runs of an upstream in the order in which they get CPU time.
+std::vector<const run_entry*> rank_best_effort_runs(const upstream_ledger& upstream) {
+    std::vector<const run_entry*> ranked;
+    ranked.reserve(upstream.runs.size());
+    for (const auto& entry : upstream.runs) {
+        if (entry.second.best_effort_milli > 0) {
+            ranked.push_back(&entry);
         }
     }
-    return best_effort_tasks;
+    // Runs of the same rank stay in the order of their tasks.
+    std::stable_sort(ranked.begin(), ranked.end(), [](const auto* left, const auto* right) {
+        return left->second.rank < right->second.rank;
+    });
+    return ranked;
 }
 
 // Processors that best-effort tasks used within the measurement window. A task that has ended counts for the
@@ -185,42 +190,86 @@
 const cell_scheduler::best_effort_view& cell_scheduler::get_best_effort_view(const upstream_ledger& upstream,
                                                                              time_point now) {
     auto& view = best_effort_views_[upstream.slot];
-    if (view.decision != decision_) {
-        view.decision = decision_;
-        view.computed_at = now;
-        view.budgets = get_serving_budgets(upstream, now + placement_horizon);
-        view.tasks = get_best_effort_tasks(upstream);
-        view.loads = measure_interference(tail_model_, view.budgets, view.tasks);
-        view.free_share = get_free_share(upstream);
-        view.requested_share = 0;
-        for (const auto& task : view.tasks) {
-            view.requested_share += task.share;
-        }
-        const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, view.tasks, view.free_share);
-        view.planned_use = get_planned_use(view.tasks, cpu_limits, view.free_share);
+    if (view.decision == decision_) {
+        return view;
+    }
+    view.decision = decision_;
+    view.computed_at = now;
+    view.room = {get_serving_budgets(upstream, now + placement_horizon), get_free_share(upstream)};
+    view.tasks.clear();
+    view.ranks.clear();
+    view.planned_uses.clear();
+    view.planned_use = 0;
+    auto room = view.room;
+    for (const auto* ranked : rank_best_effort_runs(upstream)) {
+        const auto use = get_use(upstream, ranked->second);
+        const double planned_use = use.share * take_cpu_limit(tail_model_, room, use);
+        view.planned_use += planned_use;
+        view.planned_uses.push_back(planned_use);
+        view.tasks.push_back(use);
+        view.ranks.push_back(ranked->second.rank);
     }
     return view;
 }
 
-double cell_scheduler::get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
-                                            time_point now) {
+cell_scheduler::best_effort_gain cell_scheduler::get_best_effort_gain(const upstream_ledger& upstream,
+                                                                      const best_effort_use& added,
+                                                                      const job_rank& rank, time_point now) {
     const auto& view = get_best_effort_view(upstream, now);
-    const double max_gain = (view.free_share - view.planned_use) / std::max(added.share, min_share);
-    if (max_gain < min_useful_best_effort_gain) {
-        return max_gain;
+    auto room = view.room;
+    double planned_use = 0;
+    std::size_t next = 0;
+    for (; next < view.tasks.size() && !rank.is_clearly_before(view.ranks[next]); ++next) {
+        planned_use += view.tasks[next].share * take_cpu_limit(tail_model_, room, view.tasks[next]);
+    }
+    best_effort_gain gain;
+    gain.cpu_limit = take_cpu_limit(tail_model_, room, added);
+    planned_use += added.share * gain.cpu_limit;
+    for (; next < view.tasks.size(); ++next) {
+        planned_use += view.tasks[next].share * take_cpu_limit(tail_model_, room, view.tasks[next]);
     }
-    if (view.requested_share + added.share <= view.free_share) {
-        // The added task gains its own CPU limit, and others may lose some of theirs if that is below 1.
-        const double cpu_limit = get_added_cpu_limit(tail_model_, view.loads, added);
-        if (cpu_limit >= 1.0 || cpu_limit < min_useful_best_effort_gain) {
-            return cpu_limit;
+    gain.throughput = (planned_use - view.planned_use) / std::max(added.share, min_share);
+    return gain;
+}
+
+const job_rank& cell_scheduler::get_rank(job_record& job, time_point now) {
+    if (now - job.ranked_at >= rank_interval) {
+        job.rank = rank_job(job, get_priority(job), mean_work_[job.job->rules.queue], durations_, now);
+        job.ranked_at = now;
+    }
+    return job.rank;
+}
+
+void cell_scheduler::update_ranks(upstream_ledger& upstream, time_point now) {
+    for (auto& [key, run] : upstream.runs) {
+        auto* job = run.best_effort_milli > 0 ? find_job(key.first.job) : nullptr;
+        if (job != nullptr) {
+            run.rank = get_rank(*job, now);
         }
     }
-    auto tasks = view.tasks;
-    tasks.push_back(added);
-    const auto cpu_limits = plan_cpu_limits(tail_model_, view.budgets, tasks, view.free_share);
-    const double planned_use = get_planned_use(tasks, cpu_limits, view.free_share);
-    return (planned_use - view.planned_use) / std::max(added.share, min_share);
+}
+
+best_effort_use cell_scheduler::get_use(const upstream_ledger& upstream, const run_record& run) const {
+    const double ratio = run.use_ratio > 0 ? run.use_ratio : mean_use_ratio_;
+    return {run.image, get_share(run.best_effort_milli, upstream) * ratio};
+}
+
+void cell_scheduler::observe_use(upstream_ledger& upstream, time_point now) {
+    for (auto& [key, run] : upstream.runs) {
+        const bool is_steady =
+            run.best_effort_milli > 0 && run.load > 0 && run.phase == run_phase::running &&
+            run.accepted_at != time_point() && run.cpu_limit_percent >= min_conclusive_cpu_limit_percent &&
+            run.cpu_limit_percent <= full_cpu_limit_percent &&
+            now - std::max(run.accepted_at, run.cpu_limit_changed_at) >= measurement_window * 6 / 5;
+        if (!is_steady) {
+            continue;
+        }
+        const double allowed =
+            static_cast<double>(run.best_effort_milli * run.cpu_limit_percent) / full_cpu_limit_percent;
+        const double ratio = std::clamp(static_cast<double>(run.load) / allowed, min_use_ratio, 1.0);
+        run.use_ratio = run.use_ratio > 0 ? (run.use_ratio + ratio) / 2 : ratio;
+        mean_use_ratio_ += use_ratio_rate * (ratio - mean_use_ratio_);
+    }
 }
 
 void cell_scheduler::update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now) {
@@ -297,7 +346,9 @@
     for (const auto& [key, run] : upstream.runs) {
         if (run.best_effort_milli > 0) {
             const auto percent = std::min(run.cpu_limit_percent, full_cpu_limit_percent);
-            limited.push_back({run.image, get_share(run.best_effort_milli * percent / 100, upstream)});
+            auto use = get_use(upstream, run);
+            use.share *= static_cast<double>(percent) / full_cpu_limit_percent;
+            limited.push_back(use);
         }
     }
     const auto loads = measure_interference(tail_model_, budgets, limited);
@@ -310,23 +361,18 @@
     if (upstream.best_effort_milli == 0) {
         return;
     }
-    const auto best_effort_tasks = get_best_effort_tasks(upstream);
     const auto budgets = get_serving_budgets(upstream, now + cpu_limit_horizon);
-    const auto cpu_limits =
-        plan_cpu_limits(tail_model_, budgets, best_effort_tasks, get_free_share(upstream));
     const bool is_at_risk = is_target_at_risk(upstream, budgets);
-    // The plan lists the best-effort tasks in the order of upstream.runs.
-    std::size_t index = 0;
-    for (auto& [key, run] : upstream.runs) {
-        if (run.best_effort_milli == 0) {
-            continue;
-        }
-        const auto planned =
-            static_cast<std::int32_t>(std::lround(cpu_limits[index] * full_cpu_limit_percent));
-        const auto wanted = clamp_cpu_limit(upstream, best_effort_tasks[index], planned, now);
-        ++index;
+    best_effort_room room{budgets, get_free_share(upstream)};
+    update_ranks(upstream, now);
+    for (const auto* ranked : rank_best_effort_runs(upstream)) {
+        const auto use = get_use(upstream, ranked->second);
+        const double cpu_limit = take_cpu_limit(tail_model_, room, use);
+        const auto planned = static_cast<std::int32_t>(std::lround(cpu_limit * full_cpu_limit_percent));
+        const auto wanted = clamp_cpu_limit(upstream, use, planned, now);
+        auto& run = *upstream.find_run(ranked->first.first, ranked->first.second);
         if (run.phase == run_phase::running && is_cpu_limit_due(run, wanted, is_at_risk, now)) {
-            order_cpu_limit(upstream, key, run, wanted, now);
+            order_cpu_limit(upstream, ranked->first, run, wanted, now);
         }
     }
 }
@@ -335,6 +381,7 @@
                                                 time_point now) {
     update_tail_model(upstream, report, now);
     update_margin(upstream, report, now);
+    observe_use(upstream, now);
     update_cpu_limits(upstream, now);
 }
 
@@ -349,100 +396,10 @@
             slow_slots_.push_back(upstream.slot);
         }
     }
+    run.count_work(now);
     run.cpu_limit_percent = new_percent;
     run.cpu_limit_changed_at = now;
     queued_orders_.emplace_back(cpu_limit_order{upstream.entry.id, key.first, key.second, new_percent});
 }
 
-std::vector<cell_scheduler::slow_best_effort_task> cell_scheduler::collect_slow_best_effort_tasks(
-    time_point now) {
-    std::vector<slow_best_effort_task> slow;
-    std::erase_if(slow_slots_, [&](upstream_index::slot_number slot) {
-        auto& upstream = index_.get_upstream(slot);
-        upstream.has_slow_tasks =
-            std::any_of(upstream.runs.begin(), upstream.runs.end(),
-                        [](const auto& entry) { return entry.second.slow_since != time_point::max(); });
-        return !upstream.has_slow_tasks;
-    });
-    for (const auto slot : slow_slots_) {
-        collect_slow_tasks_of(index_.get_upstream(slot), now, slow);
-    }
-    return slow;
-}
-
-void cell_scheduler::collect_slow_tasks_of(upstream_ledger& upstream, time_point now,
-                                           std::vector<slow_best_effort_task>& slow) {
-    for (auto& [key, run] : upstream.runs) {
-        if (slow.size() == max_moves_per_decision) {
-            return;
-        }
-        const bool is_slow = run.best_effort_milli > 0 && run.phase == run_phase::running &&
-                             run.slow_since != time_point::max() && now - run.slow_since >= move_delay;
-        auto* job = is_slow && now >= run.next_move_check ? find_job(key.first.job) : nullptr;
-        auto* task = job == nullptr ? nullptr : job->find_task(key.first);
-        if (task == nullptr) {
-            continue;
-        }
-        const bool saves_progress = job->job->spec.steps[key.first.step].saves_checkpoints;
-        if (saves_progress || now - run.slow_since >= restart_move_delay) {
-            run.next_move_check = now + move_check_interval;
-            slow.push_back({job, task, key.first, &upstream, &run});
-        }
-    }
-}
-
-migration_terms cell_scheduler::make_migration_terms(const slow_best_effort_task& slow,
-                                                     time_point now) const {
-    const auto& spec = slow.job->job->spec.steps[slow.ref.step];
-    const auto percent_per_ms = slow.run->estimate_percent_per_ms(now);
-    migration_terms terms;
-    terms.full_time = std::chrono::milliseconds(spec.estimated_ms);
-    terms.percent = slow.run->percent;
-    if (percent_per_ms) {
-        terms.speed = *percent_per_ms * static_cast<double>(spec.estimated_ms) / full_progress_percent;
-    }
-    terms.cpu_limit = static_cast<double>(std::min(slow.run->cpu_limit_percent, full_cpu_limit_percent)) /
-                      full_cpu_limit_percent;
-    terms.saves_checkpoints = spec.saves_checkpoints;
-    terms.restore_time = limits_.restore_time;
-    terms.stop_time = limits_.stop_timeout + restart_delay;
-    return terms;
-}
-
-void cell_scheduler::move_if_earlier(const slow_best_effort_task& slow, time_point now) {
-    auto terms = make_migration_terms(slow, now);
-    if (!get_migration_gain(terms)) {
-        // Not even another upstream at full speed would complete it clearly earlier.
-        ++migrations_.refused;
-        return;
-    }
-    // The task moves only if another upstream can run it now: here it would go on when the load falls.
-    const auto chosen = choose_upstream(*slow.job, slow.ref.get_step(), *slow.task, now);
-    if (!chosen || chosen->upstream == slow.upstream) {
-        return;
-    }
-    const best_effort_use use{slow.run->image, get_share(slow.run->best_effort_milli, *chosen->upstream)};
-    terms.new_speed = get_best_effort_gain(*chosen->upstream, use, now);
-    const auto gain = get_migration_gain(terms);
-    if (!gain) {
-        ++migrations_.refused;
-        return;
-    }
-    ++migrations_.migrations;
-    migrations_.expected_gain += *gain;
-    LOG(INFO) << "event=task_moved task=" << slow.ref.to_string()
-              << " upstream=" << slow.upstream->entry.id.get()
-              << " candidate=" << chosen->upstream->entry.id.get() << " percent=" << slow.run->percent
-              << " cpu_limit=" << slow.run->cpu_limit_percent << " expected_gain_ms=" << gain->count()
-              << " token=" << token_;
-    slow.task->avoided.push_back(slow.upstream->entry.id);
-    begin_stop(*slow.upstream, *slow.run, now);
-}
-
-void cell_scheduler::move_slow_best_effort_tasks(time_point now) {
-    for (const auto& slow : collect_slow_best_effort_tasks(now)) {
-        move_if_earlier(slow, now);
-    }
-}
-
 }  // namespace jacinthvane
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -89,8 +89,7 @@
     std::vector<std::pair<job_rank, job_record*>> ranked;
     for (const auto& id : waiting_jobs_) {
         if (auto* job = find_job(id)) {
-            ranked.emplace_back(rank_job(*job, get_priority(*job), mean_work_[job->job->rules.queue], now),
-                                job);
+            ranked.emplace_back(get_rank(*job, now), job);
         }
     }
     std::sort(ranked.begin(), ranked.end(), [](const auto& left, const auto& right) {
@@ -212,11 +211,13 @@
     record.target_tail_ms = spec.target_tail_ms;
     record.earlier_crashes = get_earlier_crashes(task, spec.is_long_running);
     record.image = tail_model_.get_index(spec.image);
+    record.rank = job.rank;
     record.cpu_limit_changed_at = now;
     record.is_order_sent = !spec.is_long_running;
     record.is_start_in_flight = !spec.is_long_running;
     record.awaits_record = spec.is_long_running;
     record.started_at = now;
+    record.is_fresh = task.checkpoint.empty();
     if (!spec.is_best_effort && !spec.is_long_running) {
         record.expected_end = now + std::chrono::milliseconds(spec.estimated_ms);
     }
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -132,6 +132,11 @@
     if (was_known && row.how == run_end::done) {
         observe_return(upstream, row.task, *known, full_percent, now);
     }
+    double measured_ms = 0;
+    if (was_known && row.how == run_end::done && !known->is_long_running) {
+        known->count_work(now);
+        measured_ms = known->estimate_full_time_ms(full_percent);
+    }
     const auto started_at = was_known ? known->started_at : time_point();
     if (was_known && known->best_effort_milli > 0) {
         const auto capacity = std::max<std::int64_t>(upstream.entry.capacity.get_processors_milli(), 1);
@@ -146,6 +151,10 @@
     }
     const auto& spec = job->job->spec.steps[row.task.step];
     if (row.how == run_end::done && !spec.is_long_running && task->phase != task_phase::done) {
+        if (measured_ms > 0) {
+            task->measured_ms = measured_ms;
+            durations_.learn(job->job->rules.queue, spec.estimated_ms, measured_ms);
+        }
         // Also the end of an earlier run: its work is done, so a later one is superfluous.
         upstream.health.record_success();
         stop_superfluous_runs(*job, upstream, row, now);
@@ -209,6 +218,7 @@
         task->upstream = upstream_id();
     }
     task->not_before = not_before;
+    task->percent = task->checkpoint.empty() ? 0 : std::max(task->percent, 0);
     const auto& spec = job.job->spec.steps[ref.step];
     if (spec.is_long_running) {
         task->not_before += get_crash_delay(task->crashed_runs.size());
@@ -255,6 +265,7 @@
     dirty_jobs_.insert(job.id);
     auto& occurrence = job.occurrences.at(ref.occurrence);
     if (step->is_done()) {
+        learn_slowest_task(job, *step);
         release_steps(job.job->spec, occurrence);
         if (occurrence.is_done()) {
             job.occurrences.erase(ref.occurrence);
@@ -266,6 +277,20 @@
     update_waiting(job);
 }
 
+void cell_scheduler::learn_slowest_task(const job_record& job, const step_state& step) {
+    double sum_ms = 0;
+    double longest_ms = 0;
+    for (const auto& task : step.tasks) {
+        if (task.measured_ms == 0) {
+            return;
+        }
+        sum_ms += task.measured_ms;
+        longest_ms = std::max(longest_ms, task.measured_ms);
+    }
+    durations_.learn_slowest(job.job->rules.queue,
+                             longest_ms * static_cast<double>(step.tasks.size()) / sum_ms);
+}
+
 void cell_scheduler::fail_task(job_record& job, const task_ref& ref, upstream_ledger& upstream,
                                time_point started_at, time_point now) {
     auto* task = job.find_task(ref);
@@ -334,6 +359,7 @@
         run->update_expected_end(now);
     }
     run->load = row.load;
+    run->count_work(now);
     observe_return(upstream, row.task, *run, row.percent, now);
     auto* job = find_job(row.task.job);
     auto* task = job == nullptr ? nullptr : job->find_task(row.task);
@@ -341,6 +367,11 @@
         !row.checkpoint.empty()) {
         task->checkpoint = row.checkpoint;
     }
+    if (task != nullptr && task->phase == task_phase::active && task->last_run == row.run) {
+        task->percent = row.percent;
+        const double measured_ms = run->estimate_full_time_ms(row.percent);
+        task->measured_ms = measured_ms > 0 ? measured_ms : task->measured_ms;
+    }
 }
 
 void cell_scheduler::adopt_run(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
--- a/src/version/cell_scheduler.cpp
+++ b/src/version/cell_scheduler.cpp
@@ -48,7 +48,7 @@
     record.objective_ms = get_objective_ms(record.job->rules, record.job->spec);
     record.is_inherited = is_inherited;
     auto& mean_work = mean_work_[record.job->rules.queue];
-    const auto work = get_declared_work(record.job->spec);
+    const auto work = get_expected_work(*record.job, durations_);
     mean_work = mean_work > 0 ? mean_work + (work - mean_work) * mean_work_rate : work;
     if (progress != nullptr) {
         apply_progress(record, *progress, clock);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "process/cell_summary.hpp"
 #include "process/clock.hpp"
 #include "process/cpu_limit_plan.hpp"
+#include "process/duration_model.hpp"
 #include "process/evacuation_change.hpp"
 #include "process/ids.hpp"
 #include "process/job_progress.hpp"
@@ -287,6 +288,7 @@
         image_index image = 0;
         // The lowest gain for which a best-effort task starts; see get_min_gain.
         double min_gain = 0;
+        job_rank rank;
     };
     // A useful gain that an upstream offers a kind of best-effort task, but less than get_min_gain. The task
     // may start there once the least gain has fallen this far, although the upstream has not changed.
@@ -312,6 +314,8 @@
         // An upstream had room that is held for a job that ranks before.
         bool has_held_room = false;
         time_point complete_at;
+        // The rank for which all upstreams were searched then, if that was an earlier search.
+        std::optional<job_rank> complete_rank;
         // Upstreams that are not eligible for their gain only.
         std::vector<low_gain> low_gains;
     };
@@ -320,7 +324,7 @@
         step_ref step;
         std::size_t position = 0;
     };
-    // With a lower gain a best-effort task would mostly slow down those already running, so it waits instead.
+    // A best-effort task that would get a lower CPU limit waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
     // Tickets that expire sooner are not used, since the start order has to arrive while they are valid.
     static constexpr std::chrono::milliseconds ticket_margin{250};
@@ -330,16 +334,24 @@
         // The decision that it was computed for; 0 if it has to be computed again.
         std::uint64_t decision = 0;
         time_point computed_at;
-        std::vector<serving_budget> budgets;
-        std::vector<serving_load> loads;
+        // What the tasks that are there may use together.
+        best_effort_room room;
         std::vector<best_effort_use> tasks;
-        double free_share = 0;
-        // Processors that the tasks that are there request.
-        double requested_share = 0;
-        // Planned use of the processors by the tasks that are there.
+        // Ranks of the tasks, in the same order: ascending.
+        std::vector<job_rank> ranks;
+        // Planned use of the processors by each of the tasks, and by all of them.
+        std::vector<double> planned_uses;
         double planned_use = 0;
     };
-    // The best gain that any upstream offered an image recently.
+    // What a further best-effort task on an upstream would gain.
+    struct best_effort_gain {
+        // Its own CPU limit, as a fraction of full speed.
+        double cpu_limit = 0;
+        // Throughput that all best-effort tasks of the upstream together gain, as a share of that of the
+        // added one at full speed: less than its CPU limit if it takes CPU time from tasks of a later rank.
+        double throughput = 0;
+    };
+    // The best CPU limit that any upstream offered an image recently.
     struct best_gain {
         double gain = 1.0;
         time_point seen_at;
@@ -368,6 +380,8 @@
         std::string required_label;
         // Set if the number of its tasks on one upstream is limited.
         std::optional<step_ref> limited_step;
+        // Set for best-effort tasks only: tasks of jobs with a better rank may take the CPU time of others.
+        job_rank rank;
         // No upstream that has not changed after this revision of the index has room, except for the low
         // gains.
         std::uint64_t revision = 0;
@@ -383,6 +397,7 @@
                    is_long_running == other.is_long_running && is_gang == other.is_gang &&
                    image == other.image && required_label == other.required_label &&
                    limited_step == other.limited_step && size.is_within(other.size) &&
+                   !other.rank.is_clearly_before(rank) &&
                    (!has_held_room || estimated_ms <= other.estimated_ms);
         }
     };
@@ -475,6 +490,8 @@
     void stop_superfluous_runs(job_record& job, const upstream_ledger& upstream, const ended_row& row,
                                time_point now);
     void requeue_task(job_record& job, const task_ref& task, time_point not_before);
+    // Learns from a step that is done how much longer than the mean its slowest task takes.
+    void learn_slowest_task(const job_record& job, const step_state& step);
     void finish_task(job_record& job, const task_ref& task, time_point now);
     void fail_task(job_record& job, const task_ref& task, upstream_ledger& upstream, time_point started_at,
                    time_point now);
@@ -507,6 +524,12 @@
     void update_margin(upstream_ledger& upstream, const upstream_report& report, time_point now);
     // Sends the planned CPU limits where they differ enough from the current ones.
     void update_cpu_limits(upstream_ledger& upstream, time_point now);
+    // Processors that the run uses at full speed, as a share of those of its upstream.
+    best_effort_use get_use(const upstream_ledger& upstream, const run_record& run) const;
+    // Learns which share of their requested processors the best-effort tasks use.
+    void observe_use(upstream_ledger& upstream, time_point now);
+    // Copies the ranks of the jobs to their best-effort runs.
+    void update_ranks(upstream_ledger& upstream, time_point now);
     // Whether a target is exceeded, or will be with the CPU limits in force.
     bool is_target_at_risk(const upstream_ledger& upstream, const std::vector<serving_budget>& budgets) const;
     std::int32_t clamp_cpu_limit(const upstream_ledger& upstream, const best_effort_use& best_effort_task,
@@ -524,11 +547,11 @@
     migration_terms make_migration_terms(const slow_best_effort_task& slow, time_point now) const;
     // One entry for each latency-critical step on the upstream.
     std::vector<serving_budget> get_serving_budgets(const upstream_ledger& upstream, time_point until) const;
-    // Throughput that all best-effort tasks of the upstream together gain if this one is added, as a share of
-    // its own throughput at full speed. Below 1 it is limited itself or slows down others. Below
-    // min_useful_best_effort_gain the result is an upper bound.
-    double get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
-                                time_point now);
+    // What starting a best-effort task of a job with this rank on the upstream would give.
+    best_effort_gain get_best_effort_gain(const upstream_ledger& upstream, const best_effort_use& added,
+                                          const job_rank& rank, time_point now);
+    // Returns the rank of the job, which is computed again at an interval.
+    const job_rank& get_rank(job_record& job, time_point now);
     const best_effort_view& get_best_effort_view(const upstream_ledger& upstream, time_point now);
     // False while a latency target is exceeded on the upstream, except at first for best-effort tasks that do
     // not contribute to it.
@@ -647,7 +670,7 @@
     // Costs (cell_costs.cpp)
     static cost_bounds get_cost_bounds(const upstream_ledger& upstream);
     static double get_cost(const upstream_ledger& upstream, const step_terms& terms, double gain);
-    static best_effort_use get_best_effort_use(const upstream_ledger& upstream, const step_terms& terms);
+    best_effort_use get_best_effort_use(const upstream_ledger& upstream, const step_terms& terms) const;
     // The lowest gain for which a best-effort task starts, so that it waits if better upstreams were offered
     // recently.
     double get_min_gain(image_index image, time_point now);
@@ -685,6 +708,9 @@
     std::map<step_ref, step_tickets> tickets_;
     // Moving average of the work per job, by queue; see rank_job.
     std::map<std::string, double> mean_work_;
+    duration_model durations_;
+    // Mean of run_record::use_ratio.
+    double mean_use_ratio_ = 1.0;
     tail_model tail_model_;
     std::map<step_ref, tail_base, step_order> tail_bases_;
     std::map<image_index, best_gain> best_gains_;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <functional>
+#include <limits>
 
 #include "version/cell_scheduler.hpp"
 
@@ -17,7 +18,8 @@
 // How long the unused processors of an upstream that has not changed are taken as known. They depend on the
 // load of its latency-critical tasks, which reports of other upstreams may show.
 constexpr std::chrono::milliseconds max_view_age{40};
-// How often all upstreams are searched again for a kind of best-effort task whose gain is nearly sufficient.
+// How often all upstreams are searched again for a kind of best-effort task whose gain is nearly sufficient,
+// or that a job of a better rank waits for.
 constexpr std::chrono::milliseconds low_gain_search_interval{60};
 
 bool is_avoided(const task_record& task, const upstream_id& upstream) {
@@ -107,6 +109,7 @@
     kind.service = get_service(job);
     kind.size = spec.size;
     kind.image = spec.is_best_effort ? spec.image : std::string();
+    kind.rank = spec.is_best_effort ? job.rank : job_rank();
     kind.is_best_effort = spec.is_best_effort;
     kind.is_long_running = spec.is_long_running;
     kind.is_gang = spec.is_gang;
@@ -139,6 +142,7 @@
     wanted.decision = decision_;
     wanted.searched_at = now;
     wanted.complete_at = search_.complete_at;
+    wanted.rank = search_.complete_rank.value_or(wanted.rank);
     std::erase_if(unplaced_, [&](const unplaced_kind& kind) { return wanted.covers(kind); });
     unplaced_.push_back(std::move(wanted));
 }
@@ -152,6 +156,7 @@
     terms.kind = get_kind(*terms.spec);
     terms.image = tail_model_.get_index(terms.spec->image);
     terms.min_gain = get_min_gain(terms.image, now);
+    terms.rank = job.rank;
     return terms;
 }
 
@@ -173,10 +178,22 @@
     search_.has_held_room = false;
     search_.low_gains.clear();
     search_.complete_at = now;
+    search_.complete_rank.reset();
     search_.next = ranking.begin();
     search_.end = ranking.end();
     const auto* known = find_unplaced(wanted);
-    if (known == nullptr || known->revision == 0) {
+    if (known == nullptr) {
+        // A job of a clearly better rank may fit where the last one did not, but many jobs of the same kind
+        // improve their ranks all the time, so not all upstreams are searched for each of them.
+        auto of_any_rank = wanted;
+        of_any_rank.rank = {
+            job_outlook::no_remaining_value, std::numeric_limits<std::int32_t>::max(), 0.0, {}};
+        known = find_unplaced(of_any_rank);
+        if (known == nullptr || now - known->complete_at >= low_gain_search_interval) {
+            return;
+        }
+    }
+    if (known->revision == 0) {
         return;
     }
     if (known->low_gains.empty() || now - known->complete_at < low_gain_search_interval) {
@@ -187,6 +204,7 @@
 void cell_scheduler::begin_repeated_search(const unplaced_kind& known, time_point now) {
     search_.next = search_.end;
     search_.complete_at = known.complete_at;
+    search_.complete_rank = known.rank;
     std::vector<upstream_index::slot_number> changed;
     index_.collect_changed_since(known.revision, changed);
     // The room of the others that was held for a job that ranks after this one.
@@ -213,8 +231,13 @@
         now - view.computed_at > max_view_age) {
         return false;
     }
+    // What tasks of clearly later ranks use is not in the way.
+    double left = view.room.free_share;
+    for (std::size_t i = 0; i < view.ranks.size(); ++i) {
+        left -= terms.rank.is_clearly_before(view.ranks[i]) ? 0.0 : view.planned_uses[i];
+    }
     const auto use = get_best_effort_use(index_.get_upstream(slot), terms);
-    return view.free_share - view.planned_use < min_useful_best_effort_gain * use.share;
+    return left < min_useful_best_effort_gain * use.share;
 }
 
 void cell_scheduler::add_candidate(upstream_index::slot_number slot, time_point now) {
@@ -298,14 +321,15 @@
         if (!may_place_best_effort_task(upstream, use, now)) {
             return std::nullopt;
         }
-        gain = get_best_effort_gain(upstream, use, now);
-        record_gain(use.image, gain, now);
-        if (gain < terms.min_gain) {
-            if (gain >= min_useful_best_effort_gain) {
-                search_.low_gains.push_back({upstream.slot, gain});
+        const auto offered = get_best_effort_gain(upstream, use, terms.rank, now);
+        record_gain(use.image, offered.cpu_limit, now);
+        if (offered.cpu_limit < terms.min_gain) {
+            if (offered.cpu_limit >= min_useful_best_effort_gain) {
+                search_.low_gains.push_back({upstream.slot, offered.cpu_limit});
             }
             return std::nullopt;
         }
+        gain = offered.throughput;
     }
     return get_cost(upstream, terms, gain);
 }
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -93,6 +93,10 @@
 cell_summary cell_scheduler::get_summary(time_point now) const {
     cell_summary summary;
     summary.jobs = jobs_.size();
+    for (const auto& [id, job] : jobs_) {
+        summary.late_jobs += job.rank.outlook != job_outlook::in_time ? 1 : 0;
+        summary.worthless_jobs += job.rank.outlook == job_outlook::no_remaining_value ? 1 : 0;
+    }
     count_waiting_tasks_by_kind(summary);
     summary.held_tasks = count_held_tasks(now);
     for (const auto& [id, upstream] : upstreams_) {
--- a/tests/migration_cell_test.cpp
+++ b/tests/migration_cell_test.cpp
@@ -107,4 +107,33 @@
     BOOST_TEST(stayed.refused > 0U);
 }
 
+// Guards against jobs that are all late under contention: the job that can be in time gets CPU time first,
+// also where a late one runs already, and the late one gets it back.
+BOOST_AUTO_TEST_CASE(gives_cpu_time_to_jobs_in_the_order_of_their_ranks) {
+    shared_upstream shared;
+    BOOST_REQUIRE(shared.report.running.size() == 3U);
+    const auto get_limit = [&](const std::string& job) {
+        const auto* upstream = shared.cell.scheduler->find_upstream(shared.cell.entries[0].id);
+        for (const auto& [key, run] : upstream->runs) {
+            if (key.first.job == job_id(job)) {
+                return run.cpu_limit_percent;
+            }
+        }
+        return -1;
+    };
+    // A tail latency of 45 ms leaves headroom for one of them, and a part of the other.
+    shared.report.running[0].load = 45;
+    for (int i = 0; i < 10; ++i) {
+        shared.advance(milliseconds(600));
+    }
+    BOOST_TEST(get_limit("in-time") == 100);
+    BOOST_TEST(get_limit("late") < 90);
+    shared.report.running[0].load = 15;
+    for (int i = 0; i < 10; ++i) {
+        shared.advance(milliseconds(600));
+    }
+    BOOST_TEST(get_limit("in-time") == 100);
+    BOOST_TEST(get_limit("late") == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
