--- a/tests/cpu_limit_plan_test.cpp
+++ b/tests/cpu_limit_plan_test.cpp
@@ -40,6 +40,7 @@
                                     const std::vector<best_effort_use>& tasks) {
     best_effort_room room{{{images.serving, budget}}, free_share};
     std::vector<double> cpu_limits;
+    cpu_limits.reserve(tasks.size());
     for (const auto& task : tasks) {
         cpu_limits.push_back(take_cpu_limit(images.model, room, task));
     }
