Bound objectives that follow from estimates without bound

An estimate near the largest integer made the objective a time_point beyond its range. Expected durations are cut at 1e12 ms (31 years) before they are added up, and their sums at 4e12 ms. The test job_order/bears_estimates_without_bound covers it; found in the read of the change, no play showed it.

--- a/src/process/job_order.cpp
+++ b/src/process/job_order.cpp
@@ -19,6 +19,15 @@
 constexpr double estimate_weight = 0.5;
 constexpr double full_percent = 100.0;
 
+// Clients may declare any estimate, and a time_point cannot be much further ahead than the second duration.
+// Three times the first one is less, so that such a job counts as one with an objective.
+constexpr double max_expected_ms = 1e12;
+constexpr double max_duration_ms = 4e12;
+
+std::chrono::milliseconds to_duration(double ms) {
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::min(ms, max_duration_ms)));
+}
+
 // Work of a task that takes this long, in thousandths of a processor times milliseconds.
 double get_work(const step_spec& spec, double duration_ms) {
     return static_cast<double>(std::max<std::int64_t>(spec.size.get_processors_milli(), 1)) *
@@ -83,7 +92,8 @@
 
 double get_expected_ms(const job_record& job, const step_spec& spec, const step_state& step,
                        const duration_model& durations) {
-    const double expected_ms = durations.estimate(job.job->rules.queue, spec.estimated_ms);
+    const double expected_ms =
+        std::min(durations.estimate(job.job->rules.queue, spec.estimated_ms), max_expected_ms);
     double measured_ms = 0;
     double count = 0;
     for (const auto& task : step.tasks) {
@@ -110,9 +120,6 @@
         return rank;
     }
     const auto& rules = job.job->rules;
-    const auto to_duration = [](double ms) {
-        return std::chrono::milliseconds(static_cast<std::int64_t>(ms));
-    };
     double remaining_work = 0;
     double work = 0;
     double remaining_chain_ms = 0;
--- a/tests/job_order_test.cpp
+++ b/tests/job_order_test.cpp
@@ -1,6 +1,7 @@
 #include "process/job_order.hpp"
 
 #include <chrono>
+#include <limits>
 #include <string>
 
 #include <boost/test/unit_test.hpp>
@@ -123,6 +124,17 @@
     BOOST_TEST(!other.is_clearly_before(rank));
 }
 
+// Guards against an overflow of the objective by an estimate without bound, which any client may declare.
+BOOST_AUTO_TEST_CASE(bears_estimates_without_bound) {
+    auto job = make_job(10, milliseconds(500));
+    auto accepted = *job.job;
+    accepted.spec.steps[0].estimated_ms = std::numeric_limits<std::int64_t>::max();
+    job.job = std::make_shared<const accepted_job>(accepted);
+    const auto rank = rank_job(job, 2, mean_work, durations, now);
+    BOOST_TEST((rank.objective > now));
+    BOOST_TEST((rank.outlook != job_outlook::no_remaining_value));
+}
+
 // A step ends with its slowest task, so a job whose tasks are nearly done can be in time, and one with a
 // single task that has hardly begun cannot.
 BOOST_AUTO_TEST_CASE(judges_a_step_by_its_slowest_task) {
