Plan CPU limits without a second look-up of each run

Found in the last read: update_cpu_limits looked each ranked run up again by its task to change it, and two files declared constants that upstream_ledger.hpp has. rank_best_effort_runs now returns the entries of a ledger that may be changed.

--- a/src/version/cell_cpu_limits.cpp
+++ b/src/version/cell_cpu_limits.cpp
@@ -97,13 +97,13 @@
     return is_change && is_steady && get_saved_time(run, wanted, now) >= min_saved_time;
 }
 
-using run_entry = std::pair<const run_key, run_record>;
-
-// Best-effort runs of an upstream in the order in which they get CPU time.
-std::vector<const run_entry*> rank_best_effort_runs(const upstream_ledger& upstream) {
-    std::vector<const run_entry*> ranked;
+// Best-effort runs of an upstream in the order in which they get CPU time. Ledger is upstream_ledger, const
+// or not.
+template <typename Ledger>
+auto rank_best_effort_runs(Ledger& upstream) {
+    std::vector<decltype(&*upstream.runs.begin())> ranked;
     ranked.reserve(upstream.runs.size());
-    for (const auto& entry : upstream.runs) {
+    for (auto& entry : upstream.runs) {
         if (entry.second.best_effort_milli > 0) {
             ranked.push_back(&entry);
         }
@@ -365,14 +365,14 @@
     const bool is_at_risk = is_target_at_risk(upstream, budgets);
     best_effort_room room{budgets, get_free_share(upstream)};
     update_ranks(upstream, now);
-    for (const auto* ranked : rank_best_effort_runs(upstream)) {
-        const auto use = get_use(upstream, ranked->second);
+    for (auto* ranked : rank_best_effort_runs(upstream)) {
+        auto& [key, run] = *ranked;
+        const auto use = get_use(upstream, run);
         const double cpu_limit = take_cpu_limit(tail_model_, room, use);
         const auto planned = static_cast<std::int32_t>(std::lround(cpu_limit * full_cpu_limit_percent));
         const auto wanted = clamp_cpu_limit(upstream, use, planned, now);
-        auto& run = *upstream.find_run(ranked->first.first, ranked->first.second);
         if (run.phase == run_phase::running && is_cpu_limit_due(run, wanted, is_at_risk, now)) {
-            order_cpu_limit(upstream, ranked->first, run, wanted, now);
+            order_cpu_limit(upstream, key, run, wanted, now);
         }
     }
 }
--- a/src/version/cell_migrations.cpp
+++ b/src/version/cell_migrations.cpp
@@ -25,7 +25,7 @@
 // How often another upstream is sought for a slow task, and for how many tasks in one decision.
 constexpr std::chrono::milliseconds move_check_interval{400};
 constexpr std::size_t max_moves_per_decision = 12;
-// Progress of a task that has ended, and full speed.
+// Progress of a task that has ended.
 constexpr std::int32_t full_percent = 100;
 }  // namespace
 
@@ -79,7 +79,8 @@
     if (percent_per_ms) {
         terms.speed = *percent_per_ms * full_ms / full_percent;
     }
-    terms.cpu_limit = static_cast<double>(std::min(slow.run->cpu_limit_percent, full_percent)) / full_percent;
+    terms.cpu_limit = static_cast<double>(std::min(slow.run->cpu_limit_percent, full_cpu_limit_percent)) /
+                      full_cpu_limit_percent;
     terms.saves_checkpoints = spec.saves_checkpoints;
     terms.restore_time = limits_.restore_time;
     terms.stop_time = limits_.stop_timeout + restart_delay;
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::int32_t full_cpu_limit_percent = 100;
-
 void count_waiting_tasks_of(const job_record& job, cell_summary& summary) {
     for (const auto& [number, occurrence] : job.occurrences) {
         for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
