Log for which incarnation the lease in an order was computed

No log line told whether an upstream held a longer lease than the owner had counted, or the owner had counted from too early a time. The line of each start now has the end of its lease, the incarnation on whose clock that is, and the clock in the response; foreign_lease shows a poll whose lease reached another incarnation, and run_released how long ago the last counted lease ended.

--- a/src/connection/memory_upstreams.cpp
+++ b/src/connection/memory_upstreams.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "connection/async_signal.hpp"
-#include "process/cell_limits.hpp"
 #include "process/error_kind.hpp"
 
 namespace jacinthvane {
@@ -49,6 +48,11 @@
     upstreams_[id].is_partitioned = is_partitioned;
 }
 
+void memory_upstreams::set_max_accepted_lease(milliseconds length) {
+    std::lock_guard lock(mutex_);
+    max_accepted_lease_ = length;
+}
+
 void memory_upstreams::set_failing(const upstream_id& id, bool is_failing) {
     std::lock_guard lock(mutex_);
     upstreams_[id].is_failing = is_failing;
@@ -163,8 +167,8 @@
 }
 
 void memory_upstreams::extend_lease(simulated_upstream& upstream, std::int64_t until_clock_ms) {
-    const auto until = std::min(upstream.booted_at + milliseconds(until_clock_ms),
-                                get_now(clock_) + cell_limits().max_lease);
+    const auto until =
+        std::min(upstream.booted_at + milliseconds(until_clock_ms), get_now(clock_) + max_accepted_lease_);
     upstream.lease_until = std::max(upstream.lease_until, until);
 }
 
--- a/src/connection/memory_upstreams.hpp
+++ b/src/connection/memory_upstreams.hpp
@@ -11,6 +11,7 @@
 #include "absl/status/statusor.h"
 #include "connection/asio.hpp"
 #include "connection/upstream_port.hpp"
+#include "process/cell_limits.hpp"
 #include "process/clock.hpp"
 #include "process/job_spec.hpp"
 #include "process/ordered_mutex.hpp"
@@ -61,6 +62,8 @@
     // Simulates a network partition: all calls to the upstream fail, and its runs continue until its lease
     // expires.
     void set_partitioned(const upstream_id& id, bool is_partitioned);
+    // Sets the longest lease that all upstreams accept.
+    void set_max_accepted_lease(std::chrono::milliseconds length);
     // Makes all runs that finish on the upstream fail.
     void set_failing(const upstream_id& id, bool is_failing);
     // Ends the runs that are due to end by the clock.
@@ -109,6 +112,7 @@
     const task_model model_;
     mutable ordered_mutex mutex_{lock_rank::standin};
     std::map<upstream_id, simulated_upstream> upstreams_;
+    std::chrono::milliseconds max_accepted_lease_ = cell_limits().max_accepted_lease;
     // The number of failed runs of each task, and the tasks whose end as done was acknowledged.
     std::map<task_ref, std::uint32_t> failed_runs_;
     std::map<task_ref, bool> acknowledged_;
--- a/src/process/cell_limits.hpp
+++ b/src/process/cell_limits.hpp
@@ -7,7 +7,10 @@
 
 // Durations that the platform defines for upstreams and jobs. Deadlines are computed from them.
 struct cell_limits {
+    // The longest lease that an owner requests.
     std::chrono::milliseconds max_lease{6000};
+    // The longest lease that an upstream accepts; it shortens a longer one to this.
+    std::chrono::milliseconds max_accepted_lease{6000};
     // Largest relative deviation of an upstream's clock from the clock of this process, in thousandths.
     std::int64_t clock_drift_permille = 20;
     std::chrono::milliseconds stop_timeout{200};
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -104,6 +104,8 @@
     std::int64_t lease_until_clock_ms = 0;
     // How long the upstream may wait for the end of a run before it responds.
     std::int64_t wait_ms = 0;
+    // As in start_order.
+    std::int64_t boot_unix_ms = 0;
 
     bool operator==(const poll_order&) const = default;
 };
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <mutex>
 #include <sstream>
+#include <string>
 #include <utility>
 
 #include <glog/logging.h>
@@ -27,6 +28,15 @@
 constexpr int hand_over_batches = 2;
 constexpr milliseconds max_hand_over_write_time{500};
 
+// Describes the lease that a start order contains; empty for any other order.
+std::string describe_lease(const start_order* start) {
+    if (start == nullptr) {
+        return std::string();
+    }
+    return " lease_until_ms=" + std::to_string(start->lease_until_clock_ms) +
+           " lease_boot=" + std::to_string(start->boot_unix_ms);
+}
+
 }  // namespace
 
 cell_owner::cell_owner(asio::io_context& context, cell_ports ports, owner_limits limits, cell_claim claim,
@@ -450,7 +460,8 @@
         LOG(INFO) << "event=" << (start != nullptr ? "start" : "order")
                   << " task=" << std::visit(describe, order)
                   << " upstream=" << std::visit([](const auto& o) { return o.upstream.get(); }, order)
-                  << " token=" << claim_.row.token << " result=" << get_name(response.result);
+                  << " token=" << claim_.row.token << " result=" << get_name(response.result)
+                  << describe_lease(start) << " clock_ms=" << response.clock_ms;
     }
     bool may_decide_more = response.result != order_result::accepted;
     {
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -25,6 +25,16 @@
 // claim, so they are too long for it by the age of the notes.
 constexpr milliseconds notes_interval{1000};
 
+// Logs a lease whose end was computed on the clock of another incarnation than the one that received it.
+void log_foreign_lease(const poll_order& order, const upstream_report& report) {
+    if (order.lease_until_clock_ms == 0 || order.boot_unix_ms == report.boot_unix_ms) {
+        return;
+    }
+    LOG(INFO) << "event=foreign_lease upstream=" << order.upstream.get()
+              << " lease_until_ms=" << order.lease_until_clock_ms << " lease_boot=" << order.boot_unix_ms
+              << " boot=" << report.boot_unix_ms << " clock_ms=" << report.clock_ms;
+}
+
 }  // namespace
 
 awaitable<bool> cell_owner::load_upstreams() {
@@ -268,6 +278,9 @@
             const auto* upstream = scheduler_.find_upstream(id);
             const bool was_unresponsive = upstream != nullptr && upstream->is_unresponsive;
             is_ok = response.result == order_result::accepted;
+            if (is_ok) {
+                log_foreign_lease(order, response.report);
+            }
             load_.add_poll(clock.now - started_at);
             if (is_ok) {
                 link_.add_poll(clock.now, estimate_bytes(order), estimate_bytes(response.report));
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -31,6 +31,11 @@
 // Longest interval between the reports of all other upstreams with runs.
 constexpr std::int64_t normal_poll_wait_ms = 1500;
 
+// How long leases may last from now on, in milliseconds; negative if all have ended.
+std::int64_t get_lease_left_ms(const upstream_ledger& upstream, time_point now) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(upstream.leases_expire_at - now).count();
+}
+
 std::chrono::milliseconds get_failure_delay(std::uint32_t failures) {
     return std::min(failure_delay * (1U << std::min(failures, 6U)), max_failure_delay);
 }
@@ -57,6 +62,7 @@
     if (is_responsive) {
         const bool may_grant = may_renew && !upstream.is_declared_silent;
         poll.lease_until_clock_ms = may_grant ? grant_lease(upstream, limits_.max_lease, now) : 0;
+        poll.boot_unix_ms = upstream.boot_unix_ms;
         upstream.offered_lease_until = may_grant ? now + limits_.max_lease : upstream.offered_lease_until;
         const bool is_stopping =
             std::any_of(upstream.runs.begin(), upstream.runs.end(),
@@ -464,7 +470,8 @@
               << " upstream=" << upstream.entry.id.get() << " silent=" << upstream.is_unresponsive
               << " leaving=" << upstream.entry.is_leaving << " unsent=" << run->is_unsent()
               << " awaits_record=" << run->awaits_record << " failed_orders=" << run->failed_orders
-              << " boot=" << upstream.boot_unix_ms << " token=" << token_;
+              << " boot=" << upstream.boot_unix_ms << " lease_left_ms=" << get_lease_left_ms(upstream, now)
+              << " token=" << token_;
     upstream.remove_run(key.first, key.second);
     mark_changed(upstream);
     auto* job = find_job(key.first.job);
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -307,6 +307,7 @@
     // The file allows a longer lease. A shorter one lets the tasks of an unresponsive upstream restart
     // sooner.
     BOOST_TEST((settings->limits.max_lease == std::chrono::milliseconds(6000)));
+    BOOST_TEST((settings->limits.max_accepted_lease == std::chrono::milliseconds(10000)));
     BOOST_TEST(!platform::decode_settings("{}").ok());
     BOOST_TEST(!platform::decode_settings("no json").ok());
 }
