Count leases that an earlier incarnation's orders bring to an upstream

Cause: the end of a lease is a time on the clock of the incarnation for which an order was decided.

Change: the owner records when a call with a lease ended that another incarnation than the intended one may have received: a start with any result that renews leases, unless the clock in its response fits the intended incarnation, and a poll on a new connection. Once a restart is known, the leases there last until the end of the last such call plus the longest lease that upstreams accept. A poll on a known connection is sent on no other. The next owner is told of such leases in the takeover notes, and assumes one where the upstream has restarted since the notes were written, or where there are none.

Requesting the longest lease everywhere would have lengthened the wait for each silent upstream from 6 s to 10 s.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -136,12 +136,18 @@
     archive(bound.token, bound.ends_by);
 }
 
+template <class Archive>
+void serialize(Archive& archive, foreign_lease& lease) {
+    archive(lease.upstream, lease.ends_by);
+}
+
 template <class Archive>
 void serialize(Archive& archive, takeover_notes& notes) {
     archive(notes.has_complete_locations);
     serialize_list(archive, notes.silent, max_upstreams);
     archive(notes.ended_before);
     serialize_list(archive, notes.lease_bounds, max_lease_bounds);
+    serialize_list(archive, notes.foreign_leases, max_upstreams);
 }
 
 template <class Archive>
--- a/src/process/takeover_notes.hpp
+++ b/src/process/takeover_notes.hpp
@@ -26,6 +26,14 @@
     bool operator==(const lease_bound&) const = default;
 };
 
+// An upstream that may hold a lease whose end was computed on the clock of an earlier incarnation.
+struct foreign_lease {
+    upstream_id upstream;
+    time_point ends_by;
+
+    bool operator==(const foreign_lease&) const = default;
+};
+
 // What an owner writes for the next one together with the list of known upstreams. A list that was written
 // without it belongs to an owner of an earlier version, which does not keep what it says.
 struct takeover_notes {
@@ -38,6 +46,9 @@
     // What is known of the owners from ended_before on, in ascending order of tokens. The record contains the
     // remaining times, so it is written again while they are needed.
     std::vector<lease_bound> lease_bounds;
+    // In ascending order of ids. An upstream that has restarted since the list was written may hold another
+    // one.
+    std::vector<foreign_lease> foreign_leases;
 
     bool operator==(const takeover_notes&) const = default;
 };
--- a/src/process/upstream_order.cpp
+++ b/src/process/upstream_order.cpp
@@ -51,6 +51,19 @@
            result != order_result::withdrawn;
 }
 
+bool may_have_renewed_lease(order_result result) {
+    switch (result) {
+        case order_result::accepted:
+        case order_result::refused_outdated:
+        case order_result::refused_room:
+        case order_result::refused_ticket:
+        case order_result::unknown:
+            return true;
+        default:
+            return false;
+    }
+}
+
 std::size_t estimate_bytes(const start_order& order) {
     return order_overhead_bytes + order.payload.size() + order.checkpoint.size() + order.ticket.size();
 }
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -85,6 +85,10 @@
 // Whether the upstream may have received the order.
 bool may_have_been_sent(order_result result);
 
+// Whether an upstream may have renewed its lease with a start order that has this result. It also does so
+// with one that it refuses for lack of room or as outdated.
+bool may_have_renewed_lease(order_result result);
+
 struct order_response {
     order_result result = order_result::unknown;
     // Clock of the upstream at its response; 0 if the response does not contain it.
@@ -106,6 +110,9 @@
     std::int64_t wait_ms = 0;
     // As in start_order.
     std::int64_t boot_unix_ms = 0;
+    // It is sent only on a connection on which the upstream has responded before, so no later incarnation
+    // receives it.
+    bool needs_same_connection = false;
 
     bool operator==(const poll_order&) const = default;
 };
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 #include <vector>
 
 #include <glog/logging.h>
@@ -14,6 +15,10 @@
 
 // Covers the rounding to whole milliseconds on the owner's and the upstream's side.
 constexpr std::chrono::milliseconds lease_rounding_margin{100};
+// The response to an order arrives at most this long after a report that was made later.
+constexpr std::chrono::milliseconds max_response_age{2500};
+// The notes for the next owner are in milliseconds, and round down.
+constexpr std::chrono::milliseconds note_rounding_margin{1};
 // Owners before this one whose leases are told apart for the next one.
 constexpr std::uint64_t max_bounded_owners = 16;
 
@@ -31,24 +36,41 @@
 
 }  // namespace
 
-std::chrono::milliseconds cell_scheduler::get_longest_lease() const {
-    const std::chrono::milliseconds on_this_clock =
-        limits_.max_lease * 1000 / (1000 - limits_.clock_drift_permille);
+std::chrono::milliseconds cell_scheduler::get_longest_time(std::chrono::milliseconds lease) const {
+    const std::chrono::milliseconds on_this_clock = lease * 1000 / (1000 - limits_.clock_drift_permille);
     return on_this_clock + lease_rounding_margin;
 }
 
+std::chrono::milliseconds cell_scheduler::get_longest_lease() const {
+    return get_longest_time(limits_.max_lease);
+}
+
+std::chrono::milliseconds cell_scheduler::get_longest_foreign_lease() const {
+    return get_longest_time(std::max(limits_.max_lease, limits_.max_accepted_lease));
+}
+
 time_point cell_scheduler::get_leases_end(std::uint64_t granting_token) const {
     return history_.get_last_action(granting_token + 1) + get_longest_lease();
 }
 
+time_point cell_scheduler::get_inherited_leases_end(const upstream_ledger& upstream) const {
+    const auto end = std::max(get_leases_end(upstream.granting_token), upstream.foreign_leases_expire_at);
+    return upstream.may_have_inherited_foreign_leases ? std::max(end, get_inherited_foreign_leases_end())
+                                                      : end;
+}
+
+time_point cell_scheduler::get_inherited_foreign_leases_end() const {
+    return history_.get_last_action(token_) + get_longest_foreign_lease();
+}
+
 void cell_scheduler::set_owner_history(const owner_history& history) {
     history_ = history;
     apply_takeover_notes();
     for (auto& [id, upstream] : upstreams_) {
         // Without a run, this owner has granted no lease there.
         if (upstream.may_have_inherited_runs && upstream.runs.empty()) {
-            const auto end = get_leases_end(upstream.granting_token);
-            upstream.leases_expire_at = std::min(upstream.leases_expire_at, end);
+            upstream.leases_expire_at =
+                std::min(upstream.leases_expire_at, get_inherited_leases_end(upstream));
         }
     }
 }
@@ -84,16 +106,30 @@
 }
 
 std::vector<lease_bound> cell_scheduler::get_lease_bounds(time_point now) const {
-    // The record is in milliseconds, and rounds down.
-    constexpr std::chrono::milliseconds rounding_margin{1};
     std::vector<lease_bound> bounds;
     const auto first = std::max(get_ended_before(now), get_first_bounded_token());
     for (auto token = first; token < token_; ++token) {
-        bounds.push_back({token, get_leases_end(token) + rounding_margin});
+        bounds.push_back({token, get_leases_end(token) + note_rounding_margin});
     }
     return bounds;
 }
 
+void cell_scheduler::record_foreign_leases(std::optional<std::vector<foreign_lease>> leases) {
+    foreign_leases_ = std::move(leases);
+}
+
+std::vector<foreign_lease> cell_scheduler::get_foreign_leases(time_point now) const {
+    std::vector<foreign_lease> leases;
+    for (const auto& [id, upstream] : upstreams_) {
+        const auto end = upstream.may_have_inherited_foreign_leases ? get_inherited_leases_end(upstream)
+                                                                    : upstream.foreign_leases_expire_at;
+        if (now < end) {
+            leases.push_back({id, end + note_rounding_margin});
+        }
+    }
+    return leases;
+}
+
 upstream_ledger& cell_scheduler::add_upstream(const upstream_entry& entry) {
     const auto [position, is_new] = upstreams_.try_emplace(entry.id);
     auto& upstream = position->second;
@@ -124,7 +160,13 @@
     upstream.may_have_inherited_runs = true;
     upstream.granting_token = granting_token;
     upstream.is_declared_silent = granting_token + 1 < token_;
-    upstream.leases_expire_at = get_leases_end(granting_token);
+    upstream.may_have_inherited_foreign_leases = !foreign_leases_.has_value();
+    if (foreign_leases_) {
+        const auto known = std::find_if(foreign_leases_->begin(), foreign_leases_->end(),
+                                        [&](const auto& lease) { return lease.upstream == entry.id; });
+        upstream.foreign_leases_expire_at = known == foreign_leases_->end() ? time_point() : known->ends_by;
+    }
+    upstream.leases_expire_at = get_inherited_leases_end(upstream);
 }
 
 void cell_scheduler::list_upstream(const upstream_entry& entry, time_point now) {
@@ -211,6 +253,7 @@
     }
     mark_changed(upstream);
     expect_orders(upstream);
+    const auto foreign_calls_end = get_foreign_calls_end(upstream);
     upstream.boot_unix_ms = boot_unix_ms;
     upstream.entry.boot_unix_ms = boot_unix_ms;
     upstream.applied_end = 0;
@@ -221,35 +264,97 @@
     upstream.starts = start_health();
     upstream.offered_lease_until = time_point();
     upstream.confirmed_lease_until = time_point();
+    upstream.lease_answered_at = time_point();
+    upstream.lease_unanswered_at = time_point();
+    upstream.foreign_leases_expire_at = time_point();
     expect_leases_of_incarnation(upstream, source, now);
+    if (foreign_calls_end != time_point()) {
+        count_foreign_lease(upstream, foreign_calls_end);
+    }
 }
 
 void cell_scheduler::expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source,
                                                   time_point now) {
     upstream.leases_expire_at = now;
     upstream.failed_polls_after_expiry = conclusive_failed_polls;
-    if (source == incarnation_source::listing && now < get_inherited_leases_end()) {
+    upstream.may_have_inherited_runs = false;
+    upstream.may_have_inherited_foreign_leases = false;
+    if (source == incarnation_source::listing && now < get_inherited_foreign_leases_end()) {
         // An upstream forgets the fencing token when it restarts, so until it has received that of this
         // owner, it carries out orders of the previous one.
         upstream.may_have_inherited_runs = true;
+        upstream.may_have_inherited_foreign_leases = true;
         upstream.granting_token = token_ - 1;
-        upstream.leases_expire_at = get_inherited_leases_end();
-    } else {
-        upstream.may_have_inherited_runs = false;
+        upstream.leases_expire_at = get_inherited_foreign_leases_end();
     }
-    if (source == incarnation_source::report) {
+    if (source == incarnation_source::report && now < get_inherited_foreign_leases_end()) {
         // Earlier owners may have granted leases to this incarnation before it received the new token.
-        const auto inherited_end = std::min(get_inherited_leases_end(), now + get_longest_lease());
+        const auto inherited_end =
+            std::min(get_inherited_foreign_leases_end(), now + get_longest_foreign_lease());
+        upstream.foreign_leases_expire_at = inherited_end;
         upstream.leases_expire_at = std::max(upstream.leases_expire_at, inherited_end);
     }
     if (upstream.has_unknown_incarnations()) {
-        extend_leases(upstream, now);
+        count_foreign_lease(upstream, now);
     }
 }
 
-void cell_scheduler::extend_leases(upstream_ledger& upstream, time_point now) {
-    upstream.leases_expire_at = std::max(upstream.leases_expire_at, now + get_longest_lease());
-    upstream.failed_polls_after_expiry = 0;
+void cell_scheduler::count_foreign_lease(upstream_ledger& upstream, time_point received_by) {
+    const auto ends_by = received_by + get_longest_foreign_lease();
+    upstream.foreign_leases_expire_at = std::max(upstream.foreign_leases_expire_at, ends_by);
+    if (upstream.leases_expire_at < ends_by) {
+        upstream.leases_expire_at = ends_by;
+        upstream.failed_polls_after_expiry = 0;
+    }
+}
+
+void cell_scheduler::record_lease_call(upstream_ledger& upstream, std::int64_t boot_unix_ms, bool is_answered,
+                                       time_point now) {
+    if (boot_unix_ms != upstream.boot_unix_ms) {
+        count_foreign_lease(upstream, now);
+        return;
+    }
+    (is_answered ? upstream.lease_answered_at : upstream.lease_unanswered_at) = now;
+}
+
+time_point cell_scheduler::get_foreign_calls_end(const upstream_ledger& upstream) {
+    // A call that was answered before the last report of this incarnation was received by it.
+    const bool may_be_foreign = upstream.lease_answered_at > upstream.clock_read_at;
+    return may_be_foreign ? std::max(upstream.lease_answered_at, upstream.lease_unanswered_at)
+                          : upstream.lease_unanswered_at;
+}
+
+void cell_scheduler::record_unanswered_poll(const upstream_id& id, time_point now) {
+    if (const auto found = upstreams_.find(id); found != upstreams_.end()) {
+        record_exposed_poll(found->second, false, now);
+    }
+}
+
+void cell_scheduler::record_exposed_poll(upstream_ledger& upstream, bool is_answered, time_point now) {
+    if (const auto boot = std::exchange(upstream.exposed_poll_boot_unix_ms, 0); boot != 0) {
+        record_lease_call(upstream, boot, is_answered, now);
+    }
+}
+
+void cell_scheduler::record_lease_in_start(upstream_ledger& upstream, const start_order& order,
+                                           const order_response& response, time_point now) {
+    if (!may_have_renewed_lease(response.result)) {
+        return;
+    }
+    const bool is_for_present = order.boot_unix_ms == upstream.boot_unix_ms;
+    if (!is_for_present || !is_reading_of_present(upstream, response.clock_ms, now)) {
+        record_lease_call(upstream, order.boot_unix_ms, is_answer(response.result), now);
+    }
+}
+
+bool cell_scheduler::is_reading_of_present(const upstream_ledger& upstream, std::int64_t clock_ms,
+                                           time_point now) const {
+    const auto since_report =
+        get_longest_time(std::chrono::duration_cast<std::chrono::milliseconds>(now - upstream.clock_read_at));
+    // The clock of a later incarnation that has begun at 0 shows at most the time since the last report.
+    return upstream.clock_ms > 0 && clock_ms > since_report.count() &&
+           clock_ms >= upstream.clock_ms - max_response_age.count() &&
+           clock_ms <= upstream.clock_ms + since_report.count();
 }
 
 void cell_scheduler::end_incarnation(const upstream_id& id, time_point now) {
--- a/src/version/cell_locations.cpp
+++ b/src/version/cell_locations.cpp
@@ -97,7 +97,7 @@
         return false;
     }
     const auto found = upstreams_.find(task.inherited_run->upstream);
-    if (found == upstreams_.end() || now >= get_leases_end(found->second.granting_token)) {
+    if (found == upstreams_.end() || now >= get_inherited_leases_end(found->second)) {
         return false;
     }
     // A run that is being stopped is not listed, and ends within this time.
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -123,6 +123,9 @@
 void cell_scheduler::apply_start_response(const start_order& order, const order_response& response,
                                           time_point now) {
     const auto found = upstreams_.find(order.upstream);
+    if (found != upstreams_.end()) {
+        record_lease_in_start(found->second, order, response, now);
+    }
     auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
     if (run == nullptr) {
         return;
@@ -138,9 +141,6 @@
         run->accepted_at = now;
     }
     record_start_health(upstream, response, now);
-    if (run->is_incarnation_unknown) {
-        extend_leases(upstream, now);
-    }
     if (run->phase == run_phase::stopping) {
         run->has_unknown_start = run->has_unknown_start || response.result == order_result::unknown;
         return;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -56,13 +56,18 @@
     // leases_expire_at.
     const bool is_responsive = upstream.has_responded && !upstream.is_unresponsive;
     // On a new connection another incarnation may respond, which would apply acknowledged_end to its own
-    // ends. A renewal of the lease does no harm there, and without it an owner that has to reconnect often
-    // would let the leases of sound upstreams end.
+    // ends. The lease is renewed there all the same, since an owner that has to reconnect often would
+    // otherwise let the leases of sound upstreams end; see count_foreign_lease.
     poll.acknowledged_end = is_responsive && is_same_connection ? upstream.durable_end : 0;
+    poll.needs_same_connection = is_responsive && is_same_connection;
+    upstream.exposed_poll_boot_unix_ms = 0;
     if (is_responsive) {
         const bool may_grant = may_renew && !upstream.is_declared_silent;
         poll.lease_until_clock_ms = may_grant ? grant_lease(upstream, limits_.max_lease, now) : 0;
         poll.boot_unix_ms = upstream.boot_unix_ms;
+        if (may_grant && !is_same_connection) {
+            upstream.exposed_poll_boot_unix_ms = upstream.boot_unix_ms;
+        }
         upstream.offered_lease_until = may_grant ? now + limits_.max_lease : upstream.offered_lease_until;
         const bool is_stopping =
             std::any_of(upstream.runs.begin(), upstream.runs.end(),
@@ -98,6 +103,7 @@
         }
         begin_incarnation(upstream, report.boot_unix_ms, incarnation_source::report, now);
     }
+    record_exposed_poll(upstream, true, now);
     mark_changed(upstream);
     upstream.responded_at = upstream.has_responded ? upstream.responded_at : now;
     upstream.is_unresponsive = false;
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -170,6 +170,8 @@
     // Records that a poll sent at this time got no response. A poll that failed because this process was slow
     // must not be recorded: it would count as a sign that the upstream is gone.
     void mark_unresponsive(const upstream_id& id, time_point sent_at);
+    // Records that the poll in flight, which may have been received, has ended without a report.
+    void record_unanswered_poll(const upstream_id& id, time_point now);
     // The address belongs to another incarnation now: all runs of this one have ended.
     void end_incarnation(const upstream_id& id, time_point now);
     // True if applied ends are not durable yet, and so cannot be acknowledged.
@@ -236,6 +238,11 @@
     void record_lease_bounds(std::vector<lease_bound> bounds);
     // Returns when the leases of earlier owners end that have not ended yet, for the next owner.
     std::vector<lease_bound> get_lease_bounds(time_point now) const;
+    // Records what earlier owners knew of leases whose ends are on the clocks of earlier incarnations of
+    // their upstreams; nothing if any upstream may hold such a lease. Called before the upstreams are added.
+    void record_foreign_leases(std::optional<std::vector<foreign_lease>> leases);
+    // Returns these leases as far as they have not ended, for the next owner.
+    std::vector<foreign_lease> get_foreign_leases(time_point now) const;
     // Excludes the upstreams that have not responded from leases and starts, and ends that for those that
     // have. The next owner need not wait for this one's leases there.
     void declare_silent_upstreams(time_point now);
@@ -462,13 +469,37 @@
                            time_point now);
     // Sets when the leases end that the new incarnation may hold already.
     void expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source, time_point now);
-    // Allows for a lease that begins at this time. Its end on the clock of the previous incarnation does not
-    // bound it in the new one, where the longest lease does.
-    void extend_leases(upstream_ledger& upstream, time_point now);
-    // The longest lease, as measured by the clock of this process.
+    // Allows for a lease that a call for an earlier incarnation has brought to the present one by this time.
+    // Its end on the clock of the earlier one does not bound it, since the clocks are unrelated; the longest
+    // lease that upstreams accept does.
+    void count_foreign_lease(upstream_ledger& upstream, time_point received_by);
+    // Records the end of a call with a lease for this incarnation, which may have been received.
+    void record_lease_call(upstream_ledger& upstream, std::int64_t boot_unix_ms, bool is_answered,
+                           time_point now);
+    // The same for the lease in a poll, if another incarnation may have received it, and in a start order.
+    void record_exposed_poll(upstream_ledger& upstream, bool is_answered, time_point now);
+    void record_lease_in_start(upstream_ledger& upstream, const start_order& order,
+                               const order_response& response, time_point now);
+    // Whether a reading in a response, which has just arrived, fits the clock of the present incarnation.
+    // Clocks of incarnations begin at 0 or at unrelated values.
+    bool is_reading_of_present(const upstream_ledger& upstream, std::int64_t clock_ms, time_point now) const;
+    // Returns by when the next incarnation has received calls with leases for this one, as far as they have
+    // ended.
+    static time_point get_foreign_calls_end(const upstream_ledger& upstream);
+    // The longest lease that is requested, and the longest one that an upstream may hold after a restart, as
+    // measured by the clock of this process.
     std::chrono::milliseconds get_longest_lease() const;
-    // When every lease has ended that an owner up to this token granted, or any earlier owner.
+    std::chrono::milliseconds get_longest_foreign_lease() const;
+    // Returns how long a lease of this length on the clock of an upstream may last by the clock of this
+    // process.
+    std::chrono::milliseconds get_longest_time(std::chrono::milliseconds lease) const;
+    // When every lease has ended that an owner up to this token granted, or any earlier owner, to
+    // incarnations on whose clocks they end.
     time_point get_leases_end(std::uint64_t granting_token) const;
+    // When every lease has ended that earlier owners granted to the upstream.
+    time_point get_inherited_leases_end(const upstream_ledger& upstream) const;
+    // The same for all leases of earlier owners in an incarnation that they may not have known.
+    time_point get_inherited_foreign_leases_end() const;
     // Returns the first owner whose leases are told apart for the next one.
     std::uint64_t get_first_bounded_token() const;
     // Adds what earlier owners have handed on to the history of owners.
@@ -689,6 +720,7 @@
     evacuation_state evacuations_;
     std::uint64_t ended_before_ = 1;
     std::vector<lease_bound> lease_bounds_;
+    std::optional<std::vector<foreign_lease>> foreign_leases_ = std::vector<foreign_lease>();
     bool has_freed_upstreams_ = false;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -110,6 +110,7 @@
         if (response.result == order_result::accepted) {
             scheduler->apply_report(entry.id, response.report, read_clock());
         } else {
+            scheduler->record_unanswered_poll(entry.id, now);
             scheduler->mark_unresponsive(entry.id, now);
         }
     }
@@ -124,6 +125,7 @@
         silent.emplace(entry.upstream, entry.granting_token);
     }
     lease_bounds = scheduler->get_lease_bounds(now);
+    foreign_leases = scheduler->get_foreign_leases(now);
     const auto decisions = scheduler->decide(read_clock(), may_start);
     for (const auto& order : decisions.orders) {
         send(order);
@@ -215,6 +217,7 @@
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
     scheduler->set_owner_history(history);
     scheduler->record_lease_bounds(lease_bounds);
+    scheduler->record_foreign_leases(foreign_leases);
     for (const auto& [id, progress] : committed) {
         if (is_final(progress.state)) {
             scheduler->add_ended_job(id, progress);
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -70,6 +70,7 @@
     std::map<upstream_id, std::uint64_t> silent;
     // What the store has on the leases of earlier owners.
     std::vector<lease_bound> lease_bounds;
+    std::vector<foreign_lease> foreign_leases;
     owner_history history{cell_limits().proof_window};
     // Whether the store has the locations of all long-running jobs, as with an owner before that records
     // them.
--- a/tests/incarnation_lease_test.cpp
+++ b/tests/incarnation_lease_test.cpp
@@ -171,6 +171,7 @@
     const auto sent_at = fixture.cell.clock->get_now();
     fixture.restart();
     fixture.deliver(poll);
+    fixture.cell.scheduler->record_unanswered_poll(fixture.id, sent_at);
     fixture.cell.scheduler->mark_unresponsive(fixture.id, sent_at);
     fixture.cell.run_for(milliseconds(200));
     fixture.add_job();
