Findings of the review of counted leases

Mended, each found by reading: - A start answered with a clock that does not fit the incarnation shows a restart. Its lease is counted at once, not only when a report or the list shows the restart, since the upstream may be silent by then. - A call for an incarnation two restarts back was forgotten at the second one; it is recorded for the next incarnation as well now. - Locations of held tasks were dropped when the usual leases of earlier owners had ended, 4 s before the longest foreign lease. - A poll that another upstream refused at the address counted as a renewal. - The stored list kept an old boot time until it was written for another reason, so that a next owner took a restart of long ago for one that the notes did not cover. A changed boot time makes the list outdated. - A reading was compared with the time at which the last report was read, where the time at which its poll was made bounds the restart. - Notes of an earlier version, without foreign leases, could not be read; they count as unknown now. The list is searched in its order.

--- a/src/connection/cell_records.cpp
+++ b/src/connection/cell_records.cpp
@@ -141,13 +141,27 @@
     archive(lease.upstream, lease.ends_by);
 }
 
+// The list is at the end of the record and left out by earlier versions.
+template <class Archive>
+void serialize_foreign_leases(Archive& archive, takeover_notes& notes) {
+    if constexpr (Archive::is_loading::value) {
+        if (archive.get_remaining() == 0) {
+            return;
+        }
+        notes.foreign_leases.emplace();
+    } else if (!notes.foreign_leases) {
+        return;
+    }
+    serialize_list(archive, *notes.foreign_leases, max_upstreams);
+}
+
 template <class Archive>
 void serialize(Archive& archive, takeover_notes& notes) {
     archive(notes.has_complete_locations);
     serialize_list(archive, notes.silent, max_upstreams);
     archive(notes.ended_before);
     serialize_list(archive, notes.lease_bounds, max_lease_bounds);
-    serialize_list(archive, notes.foreign_leases, max_upstreams);
+    serialize_foreign_leases(archive, notes);
 }
 
 template <class Archive>
--- a/src/process/takeover_notes.hpp
+++ b/src/process/takeover_notes.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "process/clock.hpp"
@@ -26,7 +27,8 @@
     bool operator==(const lease_bound&) const = default;
 };
 
-// An upstream that may hold a lease whose end was computed on the clock of an earlier incarnation.
+// A lease whose end was computed on the clock of an earlier incarnation of the upstream that holds it. Clocks
+// of incarnations are unrelated, so only the longest lease that upstreams accept bounds it.
 struct foreign_lease {
     upstream_id upstream;
     time_point ends_by;
@@ -46,9 +48,9 @@
     // What is known of the owners from ended_before on, in ascending order of tokens. The record contains the
     // remaining times, so it is written again while they are needed.
     std::vector<lease_bound> lease_bounds;
-    // In ascending order of ids. An upstream that has restarted since the list was written may hold another
-    // one.
-    std::vector<foreign_lease> foreign_leases;
+    // In ascending order of ids; nullopt in notes of an earlier version. An upstream that has restarted since
+    // the list was written may hold another one.
+    std::optional<std::vector<foreign_lease>> foreign_leases = std::nullopt;
 
     bool operator==(const takeover_notes&) const = default;
 };
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -199,6 +199,8 @@
     time_point leaves_at;
     // When the last poll was made. Its report lists all that the upstream had accepted by then.
     time_point polled_at;
+    // When the last poll was made that has been answered with a report.
+    time_point reported_poll_at;
     // Reading of the upstream's clock, and when the response with it arrived.
     std::int64_t clock_ms = 0;
     time_point clock_read_at;
@@ -208,18 +210,19 @@
     time_point confirmed_lease_until;
     // Every lease that this or a previous owner granted has ended by then.
     time_point leases_expire_at;
-    // The incarnation on whose clock the lease in the poll in flight ends, if another one may receive it; 0
-    // if none may.
-    std::int64_t exposed_poll_boot_unix_ms = 0;
+    // The incarnation on whose clock the lease in the poll in flight ends, if it is sent on a new connection,
+    // where another one may receive it.
+    std::optional<std::int64_t> exposed_poll_boot_unix_ms;
     // When calls with a lease on the clock of this incarnation last ended, by a response and without one. The
     // next incarnation may have received them.
     time_point lease_answered_at;
     time_point lease_unanswered_at;
-    // Every lease has ended by then whose end is on the clock of an earlier incarnation, except for those of
-    // earlier owners.
+    // Every foreign lease that is known has ended by then; see foreign_lease.
     time_point foreign_leases_expire_at;
-    // Earlier owners may have granted leases on the clock of an earlier incarnation.
+    // There may be further ones, of earlier owners.
     bool may_have_inherited_foreign_leases = false;
+    // The incarnation in the stored list.
+    std::int64_t recorded_boot_unix_ms = 0;
     // Highest number of an end of a run that was applied, and of one whose effect is durable.
     std::uint64_t applied_end = 0;
     std::uint64_t durable_end = 0;
--- a/src/process/upstream_order.hpp
+++ b/src/process/upstream_order.hpp
@@ -86,7 +86,8 @@
 bool may_have_been_sent(order_result result);
 
 // Whether an upstream may have renewed its lease with a start order that has this result. It also does so
-// with one that it refuses for lack of room or as outdated.
+// with one that it refuses for lack of room or as outdated; the same is assumed of a ticket that is not
+// valid.
 bool may_have_renewed_lease(order_result result);
 
 struct order_response {
--- a/src/request/cell_takeover.cpp
+++ b/src/request/cell_takeover.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chrono>
 #include <mutex>
-#include <optional>
 #include <string>
 #include <utility>
 
@@ -59,21 +58,23 @@
         return;
     }
     // Owners of earlier versions write the list without the notes, and start tasks without a record.
-    const bool are_current = upstreams_revision_ == loaded_notes_revision_;
-    if (!are_current) {
+    if (upstreams_revision_ != loaded_notes_revision_) {
         loaded_notes_ = takeover_notes();
     }
+    if (upstreams_revision_ == 0) {
+        loaded_notes_.foreign_leases.emplace();
+    }
     has_complete_locations_ = upstreams_revision_ == 0 || loaded_notes_.has_complete_locations;
     LOG(INFO) << "event=takeover_notes_loaded token=" << claim_.row.token
               << " located_jobs=" << loaded_locations_.size() << " complete=" << has_complete_locations_
               << " silent=" << loaded_notes_.silent.size() << " ended_before=" << loaded_notes_.ended_before
-              << " lease_bounds=" << loaded_notes_.lease_bounds.size()
-              << " foreign_leases=" << loaded_notes_.foreign_leases.size();
+              << " lease_bounds=" << loaded_notes_.lease_bounds.size() << " foreign_leases="
+              << (loaded_notes_.foreign_leases ? std::to_string(loaded_notes_.foreign_leases->size())
+                                               : "unknown");
     std::lock_guard lock(mutex_);
     scheduler_.record_ended_before(loaded_notes_.ended_before);
     scheduler_.record_lease_bounds(loaded_notes_.lease_bounds);
-    scheduler_.record_foreign_leases(are_current ? std::optional(loaded_notes_.foreign_leases)
-                                                 : std::nullopt);
+    scheduler_.record_foreign_leases(loaded_notes_.foreign_leases);
     scheduler_.set_inherited_locations(std::exchange(loaded_locations_, {}), has_complete_locations_);
 }
 
@@ -91,7 +92,8 @@
 }
 
 bool cell_owner::are_notes_outdated() const {
-    const bool has_times = !written_notes_.lease_bounds.empty() || !written_notes_.foreign_leases.empty();
+    const bool has_foreign_leases = written_notes_.foreign_leases && !written_notes_.foreign_leases->empty();
+    const bool has_times = !written_notes_.lease_bounds.empty() || has_foreign_leases;
     const bool is_due = has_times && std::chrono::steady_clock::now() >= next_notes_;
     return is_due || make_notes() != written_notes_;
 }
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -280,7 +280,7 @@
             is_ok = response.result == order_result::accepted;
             if (is_ok) {
                 log_foreign_lease(order, response.report);
-            } else if (response.result != order_result::not_sent) {
+            } else if (response.result == order_result::unknown || response.result == order_result::delayed) {
                 scheduler_.record_unanswered_poll(id, clock.now);
             }
             load_.add_poll(clock.now - started_at);
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -14,8 +14,9 @@
 namespace {
 
 // Covers the rounding to whole milliseconds on the owner's and the upstream's side.
-constexpr std::chrono::milliseconds lease_rounding_margin{100};
-// The response to an order arrives at most this long after a report that was made later.
+constexpr std::chrono::milliseconds rounding_margin{100};
+// The response to an order arrives at most this long after a report that was made later. A later one counts
+// as that of another incarnation.
 constexpr std::chrono::milliseconds max_response_age{2500};
 // The notes for the next owner are in milliseconds, and round down.
 constexpr std::chrono::milliseconds note_rounding_margin{1};
@@ -36,9 +37,10 @@
 
 }  // namespace
 
-std::chrono::milliseconds cell_scheduler::get_longest_time(std::chrono::milliseconds lease) const {
-    const std::chrono::milliseconds on_this_clock = lease * 1000 / (1000 - limits_.clock_drift_permille);
-    return on_this_clock + lease_rounding_margin;
+std::chrono::milliseconds cell_scheduler::get_longest_time(std::chrono::milliseconds on_upstream) const {
+    const std::chrono::milliseconds on_this_clock =
+        on_upstream * 1000 / (1000 - limits_.clock_drift_permille);
+    return on_this_clock + rounding_margin;
 }
 
 std::chrono::milliseconds cell_scheduler::get_longest_lease() const {
@@ -55,12 +57,13 @@
 
 time_point cell_scheduler::get_inherited_leases_end(const upstream_ledger& upstream) const {
     const auto end = std::max(get_leases_end(upstream.granting_token), upstream.foreign_leases_expire_at);
-    return upstream.may_have_inherited_foreign_leases ? std::max(end, get_inherited_foreign_leases_end())
-                                                      : end;
+    return upstream.may_have_inherited_foreign_leases
+               ? std::max(end, get_foreign_leases_end(upstream.granting_token))
+               : end;
 }
 
-time_point cell_scheduler::get_inherited_foreign_leases_end() const {
-    return history_.get_last_action(token_) + get_longest_foreign_lease();
+time_point cell_scheduler::get_foreign_leases_end(std::uint64_t granting_token) const {
+    return history_.get_last_action(granting_token + 1) + get_longest_foreign_lease();
 }
 
 void cell_scheduler::set_owner_history(const owner_history& history) {
@@ -157,14 +160,17 @@
 void cell_scheduler::expect_upstream(const upstream_entry& entry, std::uint64_t granting_token) {
     auto& upstream = add_upstream(entry);
     upstream.is_recorded = true;
+    upstream.recorded_boot_unix_ms = entry.boot_unix_ms;
     upstream.may_have_inherited_runs = true;
     upstream.granting_token = granting_token;
     upstream.is_declared_silent = granting_token + 1 < token_;
     upstream.may_have_inherited_foreign_leases = !foreign_leases_.has_value();
     if (foreign_leases_) {
-        const auto known = std::find_if(foreign_leases_->begin(), foreign_leases_->end(),
-                                        [&](const auto& lease) { return lease.upstream == entry.id; });
-        upstream.foreign_leases_expire_at = known == foreign_leases_->end() ? time_point() : known->ends_by;
+        const auto known = std::lower_bound(
+            foreign_leases_->begin(), foreign_leases_->end(), entry.id,
+            [](const foreign_lease& lease, const upstream_id& id) { return lease.upstream < id; });
+        const bool is_known = known != foreign_leases_->end() && known->upstream == entry.id;
+        upstream.foreign_leases_expire_at = is_known ? known->ends_by : time_point();
     }
     upstream.leases_expire_at = get_inherited_leases_end(upstream);
 }
@@ -200,7 +206,11 @@
         const auto found = upstreams_.find(entry.id);
         // An upstream that has moved since the list was made is not in it at its present address.
         const bool is_same = found != upstreams_.end() && found->second.entry.address == entry.address;
-        if (is_same && !found->second.is_recorded) {
+        if (!is_same) {
+            continue;
+        }
+        found->second.recorded_boot_unix_ms = entry.boot_unix_ms;
+        if (!found->second.is_recorded) {
             found->second.is_recorded = true;
             mark_changed(found->second);
         }
@@ -208,8 +218,10 @@
 }
 
 bool cell_scheduler::has_unrecorded_upstreams() const {
-    return std::any_of(upstreams_.begin(), upstreams_.end(),
-                       [](const auto& entry) { return !entry.second.is_recorded; });
+    return std::any_of(upstreams_.begin(), upstreams_.end(), [](const auto& entry) {
+        const auto& upstream = entry.second;
+        return !upstream.is_recorded || upstream.recorded_boot_unix_ms != upstream.entry.boot_unix_ms;
+    });
 }
 
 void cell_scheduler::unlist_upstream(const upstream_id& id) {
@@ -280,18 +292,18 @@
     upstream.failed_polls_after_expiry = conclusive_failed_polls;
     upstream.may_have_inherited_runs = false;
     upstream.may_have_inherited_foreign_leases = false;
-    if (source == incarnation_source::listing && now < get_inherited_foreign_leases_end()) {
+    if (source == incarnation_source::listing && now < get_foreign_leases_end(token_ - 1)) {
         // An upstream forgets the fencing token when it restarts, so until it has received that of this
         // owner, it carries out orders of the previous one.
         upstream.may_have_inherited_runs = true;
         upstream.may_have_inherited_foreign_leases = true;
         upstream.granting_token = token_ - 1;
-        upstream.leases_expire_at = get_inherited_foreign_leases_end();
+        upstream.leases_expire_at = get_foreign_leases_end(token_ - 1);
     }
-    if (source == incarnation_source::report && now < get_inherited_foreign_leases_end()) {
+    if (source == incarnation_source::report && now < get_foreign_leases_end(token_ - 1)) {
         // Earlier owners may have granted leases to this incarnation before it received the new token.
         const auto inherited_end =
-            std::min(get_inherited_foreign_leases_end(), now + get_longest_foreign_lease());
+            std::min(get_foreign_leases_end(token_ - 1), now + get_longest_foreign_lease());
         upstream.foreign_leases_expire_at = inherited_end;
         upstream.leases_expire_at = std::max(upstream.leases_expire_at, inherited_end);
     }
@@ -313,14 +325,13 @@
                                        time_point now) {
     if (boot_unix_ms != upstream.boot_unix_ms) {
         count_foreign_lease(upstream, now);
-        return;
     }
     (is_answered ? upstream.lease_answered_at : upstream.lease_unanswered_at) = now;
 }
 
 time_point cell_scheduler::get_foreign_calls_end(const upstream_ledger& upstream) {
-    // A call that was answered before the last report of this incarnation was received by it.
-    const bool may_be_foreign = upstream.lease_answered_at > upstream.clock_read_at;
+    // This incarnation received a call that was answered before the poll was made that it last reported to.
+    const bool may_be_foreign = upstream.lease_answered_at > upstream.reported_poll_at;
     return may_be_foreign ? std::max(upstream.lease_answered_at, upstream.lease_unanswered_at)
                           : upstream.lease_unanswered_at;
 }
@@ -332,8 +343,8 @@
 }
 
 void cell_scheduler::record_exposed_poll(upstream_ledger& upstream, bool is_answered, time_point now) {
-    if (const auto boot = std::exchange(upstream.exposed_poll_boot_unix_ms, 0); boot != 0) {
-        record_lease_call(upstream, boot, is_answered, now);
+    if (const auto boot = std::exchange(upstream.exposed_poll_boot_unix_ms, std::nullopt)) {
+        record_lease_call(upstream, *boot, is_answered, now);
     }
 }
 
@@ -342,20 +353,30 @@
     if (!may_have_renewed_lease(response.result)) {
         return;
     }
-    const bool is_for_present = order.boot_unix_ms == upstream.boot_unix_ms;
-    if (!is_for_present || !is_reading_of_present(upstream, response.clock_ms, now)) {
-        record_lease_call(upstream, order.boot_unix_ms, is_answer(response.result), now);
+    const bool fits = fits_clock(upstream, response.clock_ms, now);
+    // The clock of a later incarnation that has begun at 0 shows at most the time since the last report.
+    const bool is_young = response.clock_ms <= get_time_since_report(upstream, now).count();
+    if (order.boot_unix_ms == upstream.boot_unix_ms && fits && !is_young) {
+        return;
+    }
+    const bool is_answered = is_answer(response.result);
+    record_lease_call(upstream, order.boot_unix_ms, is_answered, now);
+    if (is_answered && upstream.clock_ms > 0 && !fits) {
+        // The reading shows a restart that no report may show before the upstream becomes silent.
+        count_foreign_lease(upstream, now);
     }
 }
 
-bool cell_scheduler::is_reading_of_present(const upstream_ledger& upstream, std::int64_t clock_ms,
-                                           time_point now) const {
-    const auto since_report =
-        get_longest_time(std::chrono::duration_cast<std::chrono::milliseconds>(now - upstream.clock_read_at));
-    // The clock of a later incarnation that has begun at 0 shows at most the time since the last report.
-    return upstream.clock_ms > 0 && clock_ms > since_report.count() &&
-           clock_ms >= upstream.clock_ms - max_response_age.count() &&
-           clock_ms <= upstream.clock_ms + since_report.count();
+std::chrono::milliseconds cell_scheduler::get_time_since_report(const upstream_ledger& upstream,
+                                                                time_point now) const {
+    return get_longest_time(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - upstream.reported_poll_at));
+}
+
+bool cell_scheduler::fits_clock(const upstream_ledger& upstream, std::int64_t clock_ms,
+                                time_point now) const {
+    return clock_ms >= upstream.clock_ms - max_response_age.count() &&
+           clock_ms <= upstream.clock_ms + get_time_since_report(upstream, now).count();
 }
 
 void cell_scheduler::end_incarnation(const upstream_id& id, time_point now) {
@@ -375,7 +396,7 @@
     const auto until = upstream.estimate_clock_ms(now) + length.count();
     const std::chrono::milliseconds left(until - upstream.clock_ms);
     const auto expires_at =
-        upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + lease_rounding_margin;
+        upstream.clock_read_at + left * 1000 / (1000 - limits_.clock_drift_permille) + rounding_margin;
     upstream.leases_expire_at = std::max(upstream.leases_expire_at, expires_at);
     upstream.failed_polls_after_expiry = 0;
     return until;
--- a/src/version/cell_locations.cpp
+++ b/src/version/cell_locations.cpp
@@ -105,7 +105,7 @@
 }
 
 bool cell_scheduler::is_takeover_over(time_point now) const {
-    return now >= get_inherited_leases_end() && is_takeover_resolved(now);
+    return now >= get_leases_end(token_ - 1) && is_takeover_resolved(now);
 }
 
 void cell_scheduler::complete_locations() {
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -74,7 +74,7 @@
 }
 
 void cell_scheduler::update_takeover(time_point now) {
-    has_inherited_leases_ = now < get_inherited_leases_end();
+    has_inherited_leases_ = now < get_foreign_leases_end(token_ - 1);
     const bool is_resolved = is_takeover_resolved(now);
     if (is_resolved == is_resolved_) {
         return;
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -60,7 +60,7 @@
     // otherwise let the leases of sound upstreams end; see count_foreign_lease.
     poll.acknowledged_end = is_responsive && is_same_connection ? upstream.durable_end : 0;
     poll.needs_same_connection = is_responsive && is_same_connection;
-    upstream.exposed_poll_boot_unix_ms = 0;
+    upstream.exposed_poll_boot_unix_ms.reset();
     if (is_responsive) {
         const bool may_grant = may_renew && !upstream.is_declared_silent;
         poll.lease_until_clock_ms = may_grant ? grant_lease(upstream, limits_.max_lease, now) : 0;
@@ -112,6 +112,7 @@
     upstream.confirmed_lease_until = upstream.offered_lease_until;
     upstream.clock_ms = report.clock_ms;
     upstream.clock_read_at = now;
+    upstream.reported_poll_at = upstream.polled_at;
     for (const auto& row : report.ended) {
         if (row.number > upstream.applied_end) {
             apply_end(upstream, row, now);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -238,10 +238,10 @@
     void record_lease_bounds(std::vector<lease_bound> bounds);
     // Returns when the leases of earlier owners end that have not ended yet, for the next owner.
     std::vector<lease_bound> get_lease_bounds(time_point now) const;
-    // Records what earlier owners knew of leases whose ends are on the clocks of earlier incarnations of
-    // their upstreams; nothing if any upstream may hold such a lease. Called before the upstreams are added.
+    // Records the foreign leases that earlier owners knew, in ascending order of ids; nullopt if they left no
+    // notes on them, so that any upstream may hold one. Called before the upstreams are added.
     void record_foreign_leases(std::optional<std::vector<foreign_lease>> leases);
-    // Returns these leases as far as they have not ended, for the next owner.
+    // Returns the foreign leases that may not have ended, for the next owner.
     std::vector<foreign_lease> get_foreign_leases(time_point now) const;
     // Excludes the upstreams that have not responded from leases and starts, and ends that for those that
     // have. The next owner need not wait for this one's leases there.
@@ -469,9 +469,7 @@
                            time_point now);
     // Sets when the leases end that the new incarnation may hold already.
     void expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source, time_point now);
-    // Allows for a lease that a call for an earlier incarnation has brought to the present one by this time.
-    // Its end on the clock of the earlier one does not bound it, since the clocks are unrelated; the longest
-    // lease that upstreams accept does.
+    // Allows for a foreign lease that began by this time.
     void count_foreign_lease(upstream_ledger& upstream, time_point received_by);
     // Records the end of a call with a lease for this incarnation, which may have been received.
     void record_lease_call(upstream_ledger& upstream, std::int64_t boot_unix_ms, bool is_answered,
@@ -480,31 +478,31 @@
     void record_exposed_poll(upstream_ledger& upstream, bool is_answered, time_point now);
     void record_lease_in_start(upstream_ledger& upstream, const start_order& order,
                                const order_response& response, time_point now);
+    // Returns the longest time, on the clock of the upstream, since the poll was made that it last reported
+    // to.
+    std::chrono::milliseconds get_time_since_report(const upstream_ledger& upstream, time_point now) const;
     // Whether a reading in a response, which has just arrived, fits the clock of the present incarnation.
     // Clocks of incarnations begin at 0 or at unrelated values.
-    bool is_reading_of_present(const upstream_ledger& upstream, std::int64_t clock_ms, time_point now) const;
-    // Returns by when the next incarnation has received calls with leases for this one, as far as they have
-    // ended.
+    bool fits_clock(const upstream_ledger& upstream, std::int64_t clock_ms, time_point now) const;
+    // Returns the end of the last call with a lease for this incarnation that a later one may have received.
     static time_point get_foreign_calls_end(const upstream_ledger& upstream);
-    // The longest lease that is requested, and the longest one that an upstream may hold after a restart, as
-    // measured by the clock of this process.
+    // The longest lease that is requested, and the longest foreign lease, as measured by the clock of this
+    // process.
     std::chrono::milliseconds get_longest_lease() const;
     std::chrono::milliseconds get_longest_foreign_lease() const;
-    // Returns how long a lease of this length on the clock of an upstream may last by the clock of this
-    // process.
-    std::chrono::milliseconds get_longest_time(std::chrono::milliseconds lease) const;
+    // Returns how long a time on the clock of an upstream may last by the clock of this process.
+    std::chrono::milliseconds get_longest_time(std::chrono::milliseconds on_upstream) const;
     // When every lease has ended that an owner up to this token granted, or any earlier owner, to
     // incarnations on whose clocks they end.
     time_point get_leases_end(std::uint64_t granting_token) const;
     // When every lease has ended that earlier owners granted to the upstream.
     time_point get_inherited_leases_end(const upstream_ledger& upstream) const;
-    // The same for all leases of earlier owners in an incarnation that they may not have known.
-    time_point get_inherited_foreign_leases_end() const;
+    // The same for foreign leases, if no notes tell of them.
+    time_point get_foreign_leases_end(std::uint64_t granting_token) const;
     // Returns the first owner whose leases are told apart for the next one.
     std::uint64_t get_first_bounded_token() const;
     // Adds what earlier owners have handed on to the history of owners.
     void apply_takeover_notes();
-    time_point get_inherited_leases_end() const { return get_leases_end(token_ - 1); }
     // Returns the end of a lease of this length, on the clock of the upstream.
     std::int64_t grant_lease(upstream_ledger& upstream, std::chrono::milliseconds length, time_point now);
 
--- a/tests/incarnation_lease_test.cpp
+++ b/tests/incarnation_lease_test.cpp
@@ -139,6 +139,33 @@
     fixture.check_partition();
 }
 
+// Guards against the same if the upstream is cut off before a report shows the restart.
+BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_start_before_a_report_shows_the_restart) {
+    lease_fixture fixture;
+    fixture.add_job();
+    const auto start = fixture.decide_start();
+    fixture.restart();
+    fixture.apply(start, fixture.deliver_start(start));
+    fixture.check_partition();
+}
+
+// Guards against the same if the upstream restarts once more before the start arrives.
+BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_start_that_outlives_two_restarts) {
+    constexpr std::int64_t third_boot = 3;
+    lease_fixture fixture;
+    fixture.add_job();
+    const auto start = fixture.decide_start();
+    fixture.restart();
+    fixture.apply(fixture.deliver(fixture.make_poll()));
+    fixture.cell.upstreams.restart(fixture.id, third_boot);
+    fixture.cell.upstreams.send_now(stop_order{fixture.id, start.task, start.run, 0}, fixture.cell.token);
+    const auto response = fixture.deliver_start(start);
+    BOOST_REQUIRE((response.result == order_result::refused_outdated));
+    fixture.apply(start, response);
+    fixture.cell.run_for(seconds(1));
+    fixture.check_partition();
+}
+
 // Guards against the same if a poll of the previous incarnation brought the lease, and its response shows the
 // restart.
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_poll_for_the_previous_incarnation) {
--- a/tests/platform_codec_test.cpp
+++ b/tests/platform_codec_test.cpp
@@ -337,6 +337,15 @@
     const auto read_progress = decode_job_progress(encode_record(progress));
     BOOST_REQUIRE(read_progress.ok());
     BOOST_TEST((*read_progress == progress));
+    takeover_notes notes{true, {{upstream_id("u1"), 3}}, 2, {}, std::nullopt};
+    const auto now = std::chrono::steady_clock::now();
+    const auto read_earlier_notes = decode_takeover_notes(encode_record(notes, now), now);
+    BOOST_REQUIRE(read_earlier_notes.ok());
+    BOOST_TEST((*read_earlier_notes == notes));
+    notes.foreign_leases = {{upstream_id("u2"), now + std::chrono::milliseconds(700)}};
+    const auto read_notes = decode_takeover_notes(encode_record(notes, now), now);
+    BOOST_REQUIRE(read_notes.ok());
+    BOOST_TEST((*read_notes == notes));
 }
 
 // Guards against decoders that crash on malformed input, which would end the process.
--- a/tests/upstream_connection_test.cpp
+++ b/tests/upstream_connection_test.cpp
@@ -64,4 +64,28 @@
     runner.join();
 }
 
+// Guards against a poll that reaches a later incarnation, although it was made for the one that responded on
+// the connection.
+BOOST_AUTO_TEST_CASE(sends_a_poll_for_the_same_connection_on_no_other) {
+    asio::io_context server_context;
+    http_server server(server_context, http_limits{}, respond);
+    BOOST_REQUIRE(server.listen("127.0.0.1:0").ok());
+    std::thread runner([&] { server_context.run(); });
+    asio::io_context context;
+    platform::upstream_connection connection(context, std::string());
+    poll_response response;
+    const auto poll = [&]() -> awaitable<void> {
+        poll_order order;
+        order.upstream = upstream_id("present");
+        order.needs_same_connection = true;
+        response = co_await connection.poll(server.get_address(), order, 1, after(milliseconds(5000)));
+    };
+    spawn_task(context, "poll", poll());
+    context.run();
+    BOOST_TEST((response.result == order_result::delayed));
+    BOOST_TEST(!connection.has_poll_connection(server.get_address()));
+    server_context.stop();
+    runner.join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
