--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -462,7 +462,7 @@
     static std::chrono::milliseconds get_crash_delay(std::size_t crashes);
     double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
 
-    // Restarts and leases of upstreams (cell_incarnations.cpp)
+    // Restarts and leases of upstreams (cell_incarnations.cpp, cell_leases.cpp)
     // Releases the runs of the previous incarnation. A run whose start order may have reached the new one is
     // kept until a report or a response shows where it is: its task would otherwise run twice.
     void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, incarnation_source source,
