Set up the lease tests' restart in one place

Found in the last read: seven cases of incarnation_lease repeated the same three lines that add a job, take its start order and restart the upstream. The fixture does it now.

--- a/tests/incarnation_lease_test.cpp
+++ b/tests/incarnation_lease_test.cpp
@@ -44,6 +44,14 @@
 
     void restart() { cell.upstreams.restart(id, second_boot); }
 
+    // Adds a job and restarts the upstream before the start order of its task arrives.
+    start_order restart_before_start() {
+        add_job();
+        auto start = decide_start();
+        restart();
+        return start;
+    }
+
     void list_restart() {
         cell.entries.front().boot_unix_ms = second_boot;
         cell.scheduler->list_upstream(cell.entries.front(), cell.clock->get_now());
@@ -105,9 +113,7 @@
 // a start order of its previous incarnation.
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_start_for_the_previous_incarnation) {
     lease_fixture fixture;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.apply(start, fixture.deliver_start(start));
     fixture.cell.run_for(milliseconds(200));
     fixture.check_partition();
@@ -116,9 +122,7 @@
 // Guards against the same if the response to the start order is lost.
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_an_unanswered_start_for_the_previous_incarnation) {
     lease_fixture fixture;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.deliver_start(start);
     fixture.apply(start, {order_result::unknown, 0});
     fixture.cell.run_for(milliseconds(200));
@@ -128,9 +132,7 @@
 // Guards against the same if the start order is refused there as outdated: that renews the lease as well.
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_refused_start_for_the_previous_incarnation) {
     lease_fixture fixture;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.cell.upstreams.send_now(stop_order{fixture.id, start.task, start.run, 0}, fixture.cell.token);
     const auto response = fixture.deliver_start(start);
     BOOST_REQUIRE((response.result == order_result::refused_outdated));
@@ -142,9 +144,7 @@
 // Guards against the same if the upstream is cut off before a report shows the restart.
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_start_before_a_report_shows_the_restart) {
     lease_fixture fixture;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.apply(start, fixture.deliver_start(start));
     fixture.check_partition();
 }
@@ -153,9 +153,7 @@
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_a_start_that_outlives_two_restarts) {
     constexpr std::int64_t third_boot = 3;
     lease_fixture fixture;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.apply(fixture.deliver(fixture.make_poll()));
     fixture.cell.upstreams.restart(fixture.id, third_boot);
     fixture.cell.upstreams.send_now(stop_order{fixture.id, start.task, start.run, 0}, fixture.cell.token);
@@ -210,9 +208,7 @@
 BOOST_AUTO_TEST_CASE(counts_the_lease_of_an_earlier_owner_in_the_next_incarnation) {
     lease_fixture fixture;
     auto& cell = fixture.cell;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.deliver_start(start);
     cell.upstreams.set_partitioned(fixture.id, true);
     fixture.take_over();
@@ -224,9 +220,7 @@
 BOOST_AUTO_TEST_CASE(hands_the_lease_of_the_previous_incarnation_on_to_the_next_owner) {
     lease_fixture fixture;
     auto& cell = fixture.cell;
-    fixture.add_job();
-    const auto start = fixture.decide_start();
-    fixture.restart();
+    const auto start = fixture.restart_before_start();
     fixture.list_restart();
     fixture.apply(start, fixture.deliver_start(start));
     cell.run_for(milliseconds(200));
