--- /dev/null
+++ b/review/standin-2/cases.cpp
@@ -0,0 +1,354 @@
+#include "cases.hpp"
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <numeric>
+#include <random>
+#include <thread>
+#include <vector>
+
+#include "deployment.hpp"
+
+namespace review {
+
+namespace {
+
+constexpr int broken = 1;
+constexpr int held = 0;
+constexpr int not_run = 2;
+constexpr int start_limit_ms = 15000;
+// ContactMs of the sheet: after so long without disturbance all is calm.
+constexpr int calm_ms = 4000;
+// A process that ends so often on a machine counts for the rule Fault.
+constexpr int ends_to_fail = 3;
+
+deployment_options make_options(const case_options& options) {
+    deployment_options made;
+    made.program = options.program;
+    made.folder = options.folder;
+    made.record = options.record;
+    made.queues = {{"quote", "/quote/", 0, 3, 1.5, 400, {}}, {"nest", "/nest/", 2, 4, 2.0, 1000, {}}};
+    return made;
+}
+
+submission make_submission(const std::string& prefix, std::vector<step> steps) {
+    submission made;
+    made.prefix = prefix;
+    made.steps = std::move(steps);
+    return made;
+}
+
+// Writes all findings to the record and prints them. Returns the exit code of a case on this rule.
+int conclude(deployment& judged, const std::string& rule, const std::vector<finding>& seen = {}) {
+    int count = 0;
+    auto findings = judge(judged);
+    findings.insert(findings.end(), seen.begin(), seen.end());
+    for (const auto& found : findings) {
+        judged.record.write(found.rule + ": " + found.text);
+        std::printf("%s: %s\n", found.rule.c_str(), found.text.c_str());
+        count += rule.empty() || found.rule == rule;
+    }
+    for (const auto& entry : judged.entries) {
+        if (entry->has_ended()) {
+            judged.record.write("process " + entry->get_name() + " has ended");
+        }
+    }
+    std::printf("%s\n", count > 0 ? "the rule was broken" : "the rule held");
+    judged.record.write(count > 0 ? "the rule was broken" : "the rule held");
+    return count > 0 ? broken : held;
+}
+
+// Asks for the submissions from finish_s after the last one was sent. Nothing may then run for 3 s at most.
+int conclude_idle(deployment& judged, std::vector<finding> seen = {}) {
+    constexpr int finish_ms = 14000;
+    constexpr int asking_ms = 20000;
+    constexpr int idle_limit_ms = 3000;
+    sleep_ms(finish_ms);
+    const auto idle_ms = judged.measure_idle_time(asking_ms);
+    const auto text =
+        "longest time with nothing running, later than finish_s: " + std::to_string(idle_ms) + " ms";
+    judged.record.write(text);
+    std::printf("%s\n", text.c_str());
+    if (idle_ms > idle_limit_ms) {
+        seen.push_back({"LOST", "a submission had nothing running for " + std::to_string(idle_ms) + " ms"});
+    }
+    return conclude(judged, "LOST", seen);
+}
+
+std::string get_worker_id(int number) {
+    char text[24];
+    std::snprintf(text, sizeof(text), "i-%08x", 0x1000 + number);
+    return text;
+}
+
+}  // namespace
+
+int run_crashes(const case_options& options) {
+    // Every 5.5 s, another six of 48 workers crash, silently, for 4.5 s: the sheet's dose of srv_crash.
+    constexpr int workers = 48;
+    constexpr int crashing_workers = 6;
+    constexpr int rounds = 14;
+    constexpr int down_ms = 4500;
+    constexpr int round_ms = 5500;
+    constexpr int submissions = 640;
+    constexpr int gap_ms = 120;
+    deployment made(make_options(options));
+    for (int i = 0; i < workers; ++i) {
+        made.add_worker(get_worker_id(i), {"a", "r1-" + std::to_string(i / 8)}, 16000, 100);
+    }
+    made.start_entries();
+    if (!made.wait_until_ready(start_limit_ms)) {
+        return not_run;
+    }
+    sleep_ms(2000);
+    std::thread clients([&] {
+        for (int i = 0; i < submissions; ++i) {
+            step one;
+            one.cpu = 12000;
+            one.work_ms = 4500;
+            made.submit(make_submission("/nest/", {one}));
+            sleep_ms(gap_ms);
+        }
+    });
+    std::vector<int> order(workers);
+    std::iota(order.begin(), order.end(), 0);
+    std::mt19937 random(std::random_device{}());
+    for (int round = 0; round < rounds; ++round) {
+        const auto begun_at = now_ms();
+        std::shuffle(order.begin(), order.end(), random);
+        for (int i = 0; i < crashing_workers && options.has_trouble; ++i) {
+            made.workers[static_cast<std::size_t>(order[static_cast<std::size_t>(i)])]->crash();
+        }
+        sleep_until_ms(begun_at + down_ms);
+        for (int i = 0; i < crashing_workers && options.has_trouble; ++i) {
+            made.workers[static_cast<std::size_t>(order[static_cast<std::size_t>(i)])]->boot();
+        }
+        sleep_until_ms(begun_at + round_ms);
+    }
+    clients.join();
+    made.wait_for_ends(25000);
+    return conclude(made, "LOST");
+}
+
+int run_kind(const case_options& options) {
+    // 48 workers, half of either kind. In each round six of them crash, and are back a second later as
+    // workers of the other kind. The work of one kind always waits for room.
+    constexpr int workers = 48;
+    constexpr int crashing_workers = 6;
+    constexpr int rounds = 3;
+    constexpr int down_ms = 1000;
+    deployment made(make_options(options));
+    for (int i = 0; i < workers; ++i) {
+        made.add_worker(get_worker_id(i), {i % 2 == 0 ? "a" : "b", "r1-" + std::to_string(i / 8)}, 16000,
+                        100);
+    }
+    made.start_entries();
+    if (!made.wait_until_ready(start_limit_ms)) {
+        return not_run;
+    }
+    sleep_ms(2000);
+    // Tasks of a minute fill the workers of kind a, and some wait.
+    for (int i = 0; i < 60; ++i) {
+        step one;
+        one.cpu = 8000;
+        one.work_ms = 60000;
+        one.required_label = "a";
+        made.submit(make_submission("/nest/", {one}));
+    }
+    sleep_ms(23000);
+    for (int round = 0; round < rounds; ++round) {
+        const int first = round * 2 * crashing_workers;
+        for (int i = 0; i < crashing_workers && options.has_trouble; ++i) {
+            const int number = first + 2 * i;
+            made.workers.at(number)->crash();
+        }
+        sleep_ms(down_ms);
+        for (int i = 0; i < crashing_workers && options.has_trouble; ++i) {
+            const int number = first + 2 * i;
+            auto& back = *made.workers.at(number);
+            back.set_kind({"b", "r1-" + std::to_string(number / 8)}, 16000);
+            back.boot();
+        }
+        sleep_ms(5000);
+    }
+    made.wait_for_ends(2000);
+    return conclude(made, "ROUTE");
+}
+
+int run_advice(const case_options& options) {
+    // A call on 16 workers takes 2.7 s, one on 20 takes 3.1 s.
+    constexpr int decide_ms = 1100;
+    constexpr int interval_ms = 100;
+    constexpr int valid_ms = 5000;
+    constexpr int workers = 16;
+    constexpr int added_workers = 4;
+    auto deployment = make_options(options);
+    deployment.queues[0].advice = {
+        {"DecideMs", decide_ms}, {"IntervalMs", interval_ms}, {"ValidMs", valid_ms}};
+    review::deployment made(deployment);
+    made.advice = std::make_unique<advice_service>(decide_ms, interval_ms, valid_ms, made.record);
+    std::set<std::string> allowed;
+    for (int i = 0; i < workers + added_workers; ++i) {
+        allowed.insert(get_worker_id(i));
+    }
+    made.advice->set_allowed(allowed);
+    for (int i = 0; i < workers; ++i) {
+        made.add_worker(get_worker_id(i), {"a", "r1-1"}, 16000, 100);
+    }
+    made.start_entries();
+    if (!made.wait_until_ready(start_limit_ms)) {
+        return not_run;
+    }
+    sleep_ms(2000);
+    const auto submit = [&] {
+        step one;
+        one.count = 4;
+        one.cpu = 2000;
+        one.work_ms = 1000;
+        made.submit(make_submission("/quote/", {one}));
+    };
+    submit();
+    made.wait_for_ends(20000);
+    if (options.has_trouble) {
+        for (int i = workers; i < workers + added_workers; ++i) {
+            made.add_worker(get_worker_id(i), {"a", "r1-2"}, 16000, 100);
+        }
+    }
+    sleep_ms(calm_ms);
+    submit();
+    return conclude_idle(made);
+}
+
+int run_gang(const case_options& options) {
+    // The times of the example: a call on 20 workers takes 0.3 s, and its tickets are valid for 3 s.
+    constexpr int decide_ms = 100;
+    constexpr int interval_ms = 10;
+    constexpr int valid_ms = 3000;
+    constexpr int workers = 40;
+    constexpr int added_workers = 10;
+    constexpr int members = 4;
+    auto deployment = make_options(options);
+    deployment.queues[0].advice = {
+        {"DecideMs", decide_ms}, {"IntervalMs", interval_ms}, {"ValidMs", valid_ms}};
+    review::deployment made(deployment);
+    made.advice = std::make_unique<advice_service>(decide_ms, interval_ms, valid_ms, made.record);
+    // The ids of the workers that are added later come first in their order.
+    for (int i = 0; i < workers; ++i) {
+        made.add_worker(get_worker_id(added_workers + i), {"a", "r1-1"}, 16000, 100);
+    }
+    // The policy allows eight of them, twice what the gang needs.
+    std::set<std::string> allowed;
+    for (const int number : {3, 7, 12, 17, 25, 31, 34, 38}) {
+        allowed.insert(get_worker_id(added_workers + number));
+    }
+    made.advice->set_allowed(allowed);
+    made.start_entries();
+    if (!made.wait_until_ready(start_limit_ms)) {
+        return not_run;
+    }
+    sleep_ms(2000);
+    const auto submit = [&] {
+        // One member fits on a worker.
+        step one;
+        one.count = members;
+        one.is_gang = true;
+        one.cpu = 10000;
+        one.work_ms = 1000;
+        made.submit(make_submission("/quote/", {one}));
+    };
+    submit();
+    made.wait_for_ends(15000);
+    for (int i = 0; i < added_workers && options.has_trouble; ++i) {
+        made.add_worker(get_worker_id(i), {"a", "r1-2"}, 16000, 100);
+    }
+    sleep_ms(calm_ms);
+    submit();
+    return conclude_idle(made);
+}
+
+int run_schedule(const case_options& options) {
+    // A plan of 60,000 times, one a minute, of the widest steps of the sheet. It is handed in after its last
+    // time has come, or, without the disruption, with its first time now.
+    constexpr int times = 60000;
+    constexpr int period_ms = 60000;
+    constexpr int width = 36;
+    constexpr int workers = 16;
+    constexpr int quotes = 15;
+    constexpr int gap_ms = 2000;
+    constexpr int machines_to_fail = 2;
+    const auto made_options = make_options(options);
+    deployment made(made_options);
+    for (int i = 0; i < workers; ++i) {
+        made.add_worker(get_worker_id(i), {"a", "r1-" + std::to_string(i / 8)}, 16000, 100);
+    }
+    made.start_entries();
+    if (!made.wait_until_ready(start_limit_ms)) {
+        return not_run;
+    }
+    sleep_ms(2000);
+    std::atomic<bool> is_over = false;
+    std::vector<std::atomic<int>> ends(made.entries.size());
+    std::thread platform([&] {
+        std::vector<std::int64_t> starts_at(made.entries.size());
+        while (!is_over) {
+            sleep_ms(20);
+            for (std::size_t i = 0; i < made.entries.size(); ++i) {
+                auto& entry = *made.entries[i];
+                if (starts_at[i] > 0 && now_ms() >= starts_at[i]) {
+                    starts_at[i] = 0;
+                    entry.start();
+                    made.record.write("started again " + entry.get_name());
+                }
+                const auto resident_kb = starts_at[i] > 0 ? 0 : entry.get_resident_kb();
+                if (resident_kb > std::int64_t{made_options.memory_mb} * 1024) {
+                    made.record.write("killed " + entry.get_name() + ", which holds " +
+                                      std::to_string(resident_kb) + " kB");
+                    entry.send(SIGKILL);
+                    entry.wait(1000);
+                    ++ends[i];
+                    starts_at[i] = now_ms() + 1000;
+                }
+            }
+        }
+    });
+    step each;
+    each.count = width;
+    each.cpu = 1000;
+    each.work_ms = 1000;
+    auto plan = make_submission("/nest/", {each});
+    plan.id = deployment::make_id();
+    plan.times = times;
+    plan.period_ms = period_ms;
+    plan.start_at_unix_ms = unix_ms() - (options.has_trouble ? std::int64_t{times} * period_ms : 0);
+    made.submit(plan);
+    for (int i = 0; i < quotes; ++i) {
+        sleep_ms(gap_ms);
+        step one;
+        one.work_ms = 500;
+        made.submit(make_submission("/quote/", {one}));
+    }
+    // The plan needs weeks, so only the quotes are asked for.
+    made.submissions.change(plan.id, [](submission& known) { known.is_accepted = false; });
+    const auto count_failed_machines = [&] {
+        return std::count_if(ends.begin(), ends.end(),
+                             [](const auto& count) { return count >= ends_to_fail; });
+    };
+    std::vector<finding> seen;
+    if (count_failed_machines() >= machines_to_fail) {
+        seen.push_back({"Fault", "on " + std::to_string(count_failed_machines()) + " of " +
+                                     std::to_string(ends.size()) +
+                                     " machines the process ended three times"});
+    }
+    const auto code = conclude_idle(made, seen);
+    is_over = true;
+    platform.join();
+    for (std::size_t i = 0; i < ends.size(); ++i) {
+        made.record.write(made.entries[i]->get_name() + " was killed " + std::to_string(ends[i].load()) +
+                          " times");
+    }
+    return code;
+}
+
+}  // namespace review
