--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -85,15 +85,16 @@
 
 }  // namespace
 
-int run_crashes(const case_options& options) {
-    // Every 5.5 s, another six of 48 workers crash, silently, for 4.5 s: the sheet's dose of srv_crash.
+int run_late(const case_options& options) {
+    // In each round, one of 20 orders to start gets no answer and is carried out 6 s later. The worker that
+    // has it crashes in between, once, for a second, when the task has been started elsewhere.
     constexpr int workers = 48;
-    constexpr int crashing_workers = 6;
-    constexpr int rounds = 14;
-    constexpr int down_ms = 4500;
-    constexpr int round_ms = 5500;
-    constexpr int submissions = 640;
-    constexpr int gap_ms = 120;
+    constexpr int rounds = 5;
+    constexpr int orders = 20;
+    constexpr int held_order = 10;
+    constexpr int delay_ms = 6000;
+    constexpr int listed_ms = 1500;
+    constexpr int down_ms = 1000;
     deployment made(make_options(options));
     for (int i = 0; i < workers; ++i) {
         made.add_worker(get_worker_id(i), {"a", "r1-" + std::to_string(i / 8)}, 16000, 100);
@@ -103,33 +104,38 @@
         return not_run;
     }
     sleep_ms(2000);
-    std::thread clients([&] {
-        for (int i = 0; i < submissions; ++i) {
+    for (int round = 0; round < rounds; ++round) {
+        for (int i = 0; i < orders; ++i) {
+            if (i == held_order && options.has_trouble) {
+                worker::hold_next_start(delay_ms);
+            }
             step one;
-            one.cpu = 12000;
-            one.work_ms = 4500;
+            one.cpu = 4000;
+            one.work_ms = 12000;
             made.submit(make_submission("/nest/", {one}));
-            sleep_ms(gap_ms);
+            sleep_ms(50);
         }
-    });
-    std::vector<int> order(workers);
-    std::iota(order.begin(), order.end(), 0);
-    std::mt19937 random(std::random_device{}());
-    for (int round = 0; round < rounds; ++round) {
-        const auto begun_at = now_ms();
-        std::shuffle(order.begin(), order.end(), random);
-        for (int i = 0; i < crashing_workers && options.has_trouble; ++i) {
-            made.workers[static_cast<std::size_t>(order[static_cast<std::size_t>(i)])]->crash();
-        }
-        sleep_until_ms(begun_at + down_ms);
-        for (int i = 0; i < crashing_workers && options.has_trouble; ++i) {
-            made.workers[static_cast<std::size_t>(order[static_cast<std::size_t>(i)])]->boot();
+        const auto deadline = now_ms() + delay_ms;
+        while (options.has_trouble && now_ms() < deadline - listed_ms - down_ms - 500) {
+            sleep_ms(20);
+            const auto held = worker::get_held_start();
+            if (held.task.empty() || !made.runs.has_active(held.task)) {
+                continue;
+            }
+            sleep_ms(listed_ms);
+            for (auto& each : made.workers) {
+                if (each->get_id() == held.worker) {
+                    each->crash();
+                    sleep_ms(down_ms);
+                    each->boot();
+                }
+            }
+            break;
         }
-        sleep_until_ms(begun_at + round_ms);
+        sleep_until_ms(deadline + 2000);
     }
-    clients.join();
     made.wait_for_ends(25000);
-    return conclude(made, "LOST");
+    return conclude(made, "TWICE");
 }
 
 int run_kind(const case_options& options) {
--- a/review/standin-2/cases.hpp
+++ b/review/standin-2/cases.hpp
@@ -13,7 +13,7 @@
     bool has_trouble = true;
 };
 
-int run_crashes(const case_options& options);
+int run_late(const case_options& options);
 int run_schedule(const case_options& options);
 int run_gang(const case_options& options);
 int run_kind(const case_options& options);
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -14,7 +14,7 @@
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
     const std::map<std::string, int (*)(const review::case_options&)> cases = {
-        {"crashes", review::run_crashes},
+        {"late", review::run_late},
         {"advice", review::run_advice},
         {"schedule", review::run_schedule},
         {"gang", review::run_gang},
--- a/review/standin-2/platform.cpp
+++ b/review/standin-2/platform.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <random>
 #include <sstream>
+#include <utility>
 
 namespace review {
 
@@ -433,6 +434,56 @@
     if (is_up_) {
         crash();
     }
+    for (auto& late : late_orders_) {
+        late.join();
+    }
+}
+
+std::mutex worker::held_mutex_;
+int worker::held_delay_ms_ = 0;
+worker::held_start worker::held_start_;
+
+void worker::hold_next_start(int delay_ms) {
+    std::lock_guard lock(held_mutex_);
+    held_delay_ms_ = delay_ms;
+    held_start_ = held_start();
+}
+
+worker::held_start worker::get_held_start() {
+    std::lock_guard lock(held_mutex_);
+    return held_start_;
+}
+
+bool worker::hold(const http_request& request) {
+    if (request.get_path() != "/-/run-start") {
+        return false;
+    }
+    const auto body = json::parse(request.body, nullptr, false);
+    int delay_ms = 0;
+    {
+        std::lock_guard lock(held_mutex_);
+        delay_ms = std::exchange(held_delay_ms_, 0);
+        if (delay_ms == 0) {
+            return false;
+        }
+        held_start_.task = body.value("Task", std::string());
+        held_start_.worker = options_.id;
+    }
+    record_.write("held " + body.dump() + " to " + options_.id + " boot " + std::to_string(boot_));
+    const auto arrives_at = now_ms() + delay_ms;
+    std::lock_guard lock(mutex_);
+    late_orders_.emplace_back([this, request, body, arrives_at] {
+        sleep_until_ms(arrives_at);
+        if (is_up_) {
+            const auto response = carry_out(request, body);
+            record_.write("late " + body.value("Task", std::string()) + " at " + options_.id + " boot " +
+                          std::to_string(boot_) + " -> " + std::to_string(response.status) + " " +
+                          response.body.dump());
+        }
+        std::lock_guard held(held_mutex_);
+        held_start_.is_over = true;
+    });
+    return true;
 }
 
 void worker::boot() {
@@ -604,8 +655,6 @@
 }
 
 http_response worker::handle(const http_request& request) {
-    const auto path = request.get_path();
-    std::unique_lock lock(mutex_);
     if (!is_up_) {
         return {503, json::object(), true, {}};
     }
@@ -620,6 +669,22 @@
     if (!body.is_object()) {
         return {400, json::object(), false, {}};
     }
+    if (hold(request)) {
+        const int boot = boot_;
+        while (is_up_ && boot == boot_ && !request.is_abandoned()) {
+            sleep_ms(20);
+        }
+        return {503, json::object(), true, {}};
+    }
+    return carry_out(request, body);
+}
+
+http_response worker::carry_out(const http_request& request, const json& body) {
+    const auto path = request.get_path();
+    std::unique_lock lock(mutex_);
+    if (!is_up_) {
+        return {503, json::object(), true, {}};
+    }
     advance_locked();
     const auto fence = body.value("Fence", std::uint64_t{0});
     if (fence < fence_) {
--- a/review/standin-2/platform.hpp
+++ b/review/standin-2/platform.hpp
@@ -212,6 +212,15 @@
     void set_kind(const std::vector<std::string>& labels, int cpu);
     void set_stalled(bool is_stalled) { is_stalled_ = is_stalled; }
     void drain(int remaining_ms);
+    // The next order to start, to whichever worker, gets no answer and is carried out after this time.
+    static void hold_next_start(int delay_ms);
+    // The task and the worker of the order that was held last, and whether it is carried out by now.
+    struct held_start {
+        std::string task;
+        std::string worker;
+        bool is_over = false;
+    };
+    static held_start get_held_start();
     bool is_up() const { return is_up_; }
     std::size_t count_runs();
     std::size_t count_stopping();
@@ -231,6 +240,9 @@
     };
 
     http_response handle(const http_request& request);
+    // Takes an order that is to be carried out late. Returns whether it did.
+    bool hold(const http_request& request);
+    http_response carry_out(const http_request& request, const json& body);
     http_response start_run(const json& body);
     http_response stop_run(const json& body);
     http_response list_runs(const json& body, std::unique_lock<std::mutex>& lock);
@@ -271,6 +283,10 @@
         std::size_t log = 0;
     };
     std::vector<ended_row> ended_;
+    std::vector<std::thread> late_orders_;
+    static std::mutex held_mutex_;
+    static int held_delay_ms_;
+    static held_start held_start_;
 };
 
 // The advice service: one call at a time for each calling machine, here for all, since one machine calls.
