--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Workers are added to a queue with advice.
+# The process that gives the orders and two workers are lost together.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 here="$(cd "$(dirname "$0")" && pwd)"
@@ -12,7 +12,7 @@
 fi
 folder="$(mktemp -d)" || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout 118 "$standin" advice "$program" "$folder" "$here/record.txt"
+timeout 118 "$standin" takeover "$program" "$folder" "$here/record.txt"
 code=$?
 case $code in
     0 | 1) exit $code ;;
--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -183,48 +183,87 @@
     return conclude(made, "ROUTE");
 }
 
-int run_advice(const case_options& options) {
-    // A call on 16 workers takes 2.7 s, one on 20 takes 3.1 s.
-    constexpr int decide_ms = 1100;
-    constexpr int interval_ms = 100;
-    constexpr int valid_ms = 5000;
+int run_takeover(const case_options& options) {
+    // Two of 16 workers are lost for good, and 0.3 s later the process that gives the orders. A new process
+    // comes at another address 2 s after that.
     constexpr int workers = 16;
-    constexpr int added_workers = 4;
-    auto deployment = make_options(options);
-    deployment.queues[0].advice = {
-        {"DecideMs", decide_ms}, {"IntervalMs", interval_ms}, {"ValidMs", valid_ms}};
-    review::deployment made(deployment);
-    made.advice = std::make_unique<advice_service>(decide_ms, interval_ms, valid_ms, made.record);
-    std::set<std::string> allowed;
-    for (int i = 0; i < workers + added_workers; ++i) {
-        allowed.insert(get_worker_id(i));
-    }
-    made.advice->set_allowed(allowed);
+    constexpr int lost_workers = 2;
+    constexpr int gap_ms = 300;
+    constexpr int replacement_ms = 2000;
+    constexpr int entry_removal_ms = 4500;
+    constexpr int watch_ms = 25000;
+    // The rule on tasks that last: not from 6 s after the last run, for 3 s, if these and the 4 s before are
+    // calm.
+    constexpr int after_run_ms = 6000;
+    constexpr int idle_limit_ms = 3000;
+    deployment made(make_options(options));
     for (int i = 0; i < workers; ++i) {
-        made.add_worker(get_worker_id(i), {"a", "r1-1"}, 16000, 100);
+        made.add_worker(get_worker_id(i), {"a", "r1-" + std::to_string(i / 8)}, 16000, 100);
     }
     made.start_entries();
     if (!made.wait_until_ready(start_limit_ms)) {
         return not_run;
     }
     sleep_ms(2000);
-    const auto submit = [&] {
+    for (int i = 0; i < workers; ++i) {
         step one;
         one.count = 4;
-        one.cpu = 2000;
-        one.work_ms = 1000;
+        one.is_lasting = true;
+        one.cpu = 3000;
         made.submit(make_submission("/quote/", {one}));
-    };
-    submit();
-    made.wait_for_ends(20000);
+    }
+    sleep_ms(12000);
+    for (int i = 0; i < lost_workers && options.has_trouble; ++i) {
+        made.workers.at(i)->crash();
+    }
+    const auto lost_at = now_ms();
+    sleep_ms(gap_ms);
+    const auto owner = std::find_if(made.entries.begin(), made.entries.end(),
+                                    [&](const auto& entry) { return made.is_owner(*entry); });
+    if (owner == made.entries.end()) {
+        return not_run;
+    }
     if (options.has_trouble) {
-        for (int i = workers; i < workers + added_workers; ++i) {
-            made.add_worker(get_worker_id(i), {"a", "r1-2"}, 16000, 100);
+        made.record.write("killed for good " + (*owner)->get_name());
+        (*owner)->send(SIGKILL);
+        (*owner)->wait(1000);
+    }
+    sleep_ms(replacement_ms);
+    if (options.has_trouble) {
+        made.entries.erase(owner);
+        made.add_entry().start();
+        made.record.write("started " + made.entries.back()->get_name());
+    }
+    const auto calm_from = now_ms();
+    sleep_until_ms(lost_at + entry_removal_ms);
+    for (const auto& each : made.workers) {
+        if (!each->is_up()) {
+            made.platform.remove("servers/" + each->get_id());
         }
     }
-    sleep_ms(calm_ms);
-    submit();
-    return conclude_idle(made);
+    sleep_until_ms(lost_at + watch_ms);
+    std::vector<finding> seen;
+    const auto all = made.runs.get_all();
+    for (const auto& lost : all) {
+        if (lost.how != "crash") {
+            continue;
+        }
+        auto next = now_ms();
+        for (const auto& later : all) {
+            next = later.task == lost.task && later.started_at > lost.ended_at
+                       ? std::min(next, later.started_at)
+                       : next;
+        }
+        const auto idle_from = std::max(lost.ended_at + after_run_ms, calm_from + calm_ms);
+        if (next > idle_from + idle_limit_ms) {
+            seen.push_back({"LOST", lost.task + " is to last and doesn't run for " +
+                                        std::to_string(next - lost.ended_at) + " ms"});
+        }
+    }
+    for (const auto& known : made.submissions.get_all()) {
+        made.ask(known.id);
+    }
+    return conclude(made, "LOST", seen);
 }
 
 int run_gang(const case_options& options) {
--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -219,11 +219,16 @@
     return *workers.back();
 }
 
+entry_process& deployment::add_entry() {
+    ++added_entries_;
+    entries.push_back(std::make_unique<entry_process>(
+        options_.program, "front-" + std::to_string(added_entries_), options_.folder, make_settings()));
+    return *entries.back();
+}
+
 void deployment::start_entries() {
     for (int i = 0; i < options_.entries; ++i) {
-        entries.push_back(std::make_unique<entry_process>(options_.program, "front-" + std::to_string(i + 1),
-                                                          options_.folder, make_settings()));
-        entries.back()->start();
+        add_entry().start();
     }
 }
 
--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -39,6 +39,8 @@
 
     worker& add_worker(const std::string& id, const std::vector<std::string>& labels, int cpu, int stop_ms);
     void start_entries();
+    // Adds a process that has a name and ports of its own, and doesn't start it.
+    entry_process& add_entry();
     // Waits until a process reports itself ready. Returns false if none does.
     bool wait_until_ready(int limit_ms);
 
@@ -73,6 +75,7 @@
     deployment_options options_;
     std::string host_ = "review.example";
     std::size_t next_entry_ = 0;
+    int added_entries_ = 0;
     std::mutex mutex_;
 };
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -15,7 +15,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     const std::map<std::string, int (*)(const review::case_options&)> cases = {
         {"late", review::run_late},
-        {"advice", review::run_advice},
+        {"takeover", review::run_takeover},
         {"schedule", review::run_schedule},
         {"gang", review::run_gang},
         {"kind", review::run_kind}};
