Count unanswered copies of start orders apart from their runs

Cause: whether a start may still be carried out was a property of the run and was cleared when a report listed the run. An earlier copy without a response remained, and the next incarnation, which has seen no stop, carried it out after the task had been started elsewhere. Ruled out: orders in flight (there were none), the end of the lease in the copy (it is on the clock of the previous incarnation).

Change: the ledger keeps unanswered starts for 30 s, whatever becomes of their runs. After a restart the new incarnation is sent a stop for each of them, and only the tasks concerned wait for it. Runs of earlier owners wait for the first report if the platform's list shows the restart, and a run that the report lists is kept.

The suites cell_restart, incarnation_lease, cell_scheduler, cell_crash, cell_takeover and lasting_task pass.

--- a/src/process/job_record.hpp
+++ b/src/process/job_record.hpp
@@ -49,6 +49,9 @@
     double measured_ms = 0;
     // Progress of the active run, or of the one that ended with the checkpoint, in percent.
     std::int32_t percent = 0;
+    // Upstreams that have restarted while a start order for an earlier run was unanswered. The task waits
+    // until they have no run of it.
+    std::vector<upstream_id> late_start_upstreams;
     // Upstreams where runs of this task failed or made no progress, the most recent one last.
     std::vector<upstream_id> avoided;
 };
--- a/src/process/upstream_ledger.cpp
+++ b/src/process/upstream_ledger.cpp
@@ -118,6 +118,15 @@
                        [](const auto& entry) { return entry.second.is_incarnation_unknown; });
 }
 
+bool upstream_ledger::has_run_of(const task_ref& task) const {
+    const auto found = runs.lower_bound(run_key_view{task, 0});
+    return found != runs.end() && found->first.first == task;
+}
+
+void upstream_ledger::remove_expired_starts(time_point now) {
+    std::erase_if(unanswered_starts, [&](const auto& entry) { return now >= entry.second; });
+}
+
 time_point upstream_ledger::get_expected_end() const {
     auto earliest = time_point::max();
     for (const auto& [key, run] : runs) {
--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -227,6 +227,9 @@
     std::uint64_t applied_end = 0;
     std::uint64_t durable_end = 0;
     std::map<run_key, run_record, run_order> runs;
+    // Until when start orders that got no response may still be carried out, by run, whatever the response to
+    // another copy was and whether the run has ended. A later incarnation does not know what excludes them.
+    std::map<run_key, time_point, run_order> unanswered_starts;
     resource_vector committed;
     std::int64_t best_effort_milli = 0;
     // Estimate of the processors that the committed tasks use, in thousandths of a processor.
@@ -270,10 +273,13 @@
     // Whether the run was accepted by an earlier incarnation: the report to the last poll, of the current
     // one, does not list it, although it was accepted before that poll.
     bool is_of_earlier_incarnation(const run_record& run) const {
-        return run.is_incarnation_unknown && !run.is_start_in_flight && !run.has_unknown_start &&
-               run.accepted_at < polled_at;
+        return run.is_incarnation_unknown && !run.is_start_in_flight && run.accepted_at < polled_at;
     }
     bool has_unknown_incarnations() const;
+    // Whether the ledger has a run of the task.
+    bool has_run_of(const task_ref& task) const;
+    // Forgets the unanswered starts that are not carried out any more.
+    void remove_expired_starts(time_point now);
     // Whether a further start order may be sent: while the upstream is on trial, it gets one at a time.
     bool may_get_start() const;
     // Whether a start order got no response and may still take effect.
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <vector>
 
 #include <glog/logging.h>
@@ -86,7 +87,7 @@
     }
     upstream.is_listed = true;
     if (entry.boot_unix_ms > upstream.boot_unix_ms && upstream.boot_unix_ms != 0) {
-        begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, now);
+        begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, {}, now);
     }
     if (entry.is_leaving && !upstream.entry.is_leaving) {
         upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
@@ -124,16 +125,76 @@
     }
 }
 
+bool cell_scheduler::may_be_in_next_incarnation(const upstream_ledger& upstream, const run_key& key,
+                                                const run_record& run, incarnation_source source,
+                                                time_point now) const {
+    switch (source) {
+        case incarnation_source::refusal:
+            // Where another upstream has responded at the address, only an order that is still in flight may
+            // reach a later incarnation of this one.
+            return run.is_start_in_flight;
+        case incarnation_source::listing:
+            // The new incarnation has not received the fencing token of this owner yet, and this owner does
+            // not know which starts of earlier ones were unanswered.
+            if (key.second < get_first_run() && now < history_.get_last_action(token_) + max_order_delay) {
+                return true;
+            }
+            break;
+        case incarnation_source::report:
+            break;
+    }
+    return run.may_be_in_next_incarnation() || upstream.unanswered_starts.contains(key);
+}
+
+void cell_scheduler::stop_late_start(upstream_ledger& upstream, const run_key& key, time_point now) {
+    if (upstream.find_run(key.first, key.second) != nullptr) {
+        return;
+    }
+    auto* job = find_job(key.first.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(key.first);
+    auto run = make_found_run(task == nullptr ? nullptr : job, key.first);
+    run.has_unknown_start = true;
+    run.is_incarnation_unknown = true;
+    run.started_at = now;
+    restart_stop(upstream, run, now);
+    upstream.add_run(key.first, key.second, run);
+    // A run of the task elsewhere began before the restart, so it is not waited for.
+    const bool is_elsewhere =
+        task != nullptr && task->phase == task_phase::active && task->upstream != upstream.entry.id;
+    if (task != nullptr && !is_elsewhere) {
+        std::erase(task->late_start_upstreams, upstream.entry.id);
+        task->late_start_upstreams.push_back(upstream.entry.id);
+    }
+    LOG(INFO) << "event=late_start_stopped task=" << key.first.to_string() << "/" << key.second
+              << " upstream=" << upstream.entry.id.get() << " boot=" << upstream.boot_unix_ms
+              << " runs_elsewhere=" << is_elsewhere << " token=" << token_;
+}
+
+bool cell_scheduler::may_start_late(const step_ref& ref, std::uint32_t index, const task_record& task) const {
+    if (task.late_start_upstreams.empty()) {
+        return false;
+    }
+    const task_ref wanted{ref.job, ref.occurrence, ref.step, index};
+    return std::any_of(task.late_start_upstreams.begin(), task.late_start_upstreams.end(),
+                       [&](const upstream_id& id) {
+                           const auto* upstream = find_upstream(id);
+                           return upstream != nullptr && upstream->has_run_of(wanted);
+                       });
+}
+
 void cell_scheduler::begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms,
-                                       incarnation_source source, time_point now) {
+                                       incarnation_source source, const std::vector<running_row>& rows,
+                                       time_point now) {
+    upstream.remove_expired_starts(now);
+    std::set<run_key> listed;
+    for (const auto& row : rows) {
+        listed.emplace(row.task, row.run);
+    }
     std::vector<run_key> ended;
     for (auto& [key, run] : upstream.runs) {
-        // Where another upstream has responded at the address, only an order that is still in flight may
-        // reach a later incarnation of this one.
-        const bool is_kept =
-            source == incarnation_source::refusal ? run.is_start_in_flight : run.may_be_in_next_incarnation();
-        if (is_kept) {
+        if (listed.contains(key) || may_be_in_next_incarnation(upstream, key, run, source, now)) {
             run.expect_in_next_incarnation();
+            run.has_unknown_start = run.has_unknown_start || upstream.unanswered_starts.contains(key);
         } else {
             ended.push_back(key);
         }
@@ -149,8 +210,14 @@
     for (const auto& key : ended) {
         release_run(upstream, key, now);
     }
+    if (source != incarnation_source::refusal) {
+        for (const auto& [key, expires_at] : upstream.unanswered_starts) {
+            stop_late_start(upstream, key, now);
+        }
+    }
     for (auto& [key, run] : upstream.runs) {
-        const bool is_unknown_start = run.has_unknown_start && !run.is_start_in_flight;
+        const bool is_unknown_start =
+            run.has_unknown_start && !run.is_start_in_flight && !listed.contains(key);
         if (run.phase == run_phase::stopping || is_unknown_start) {
             // The new incarnation knows of no earlier stop order.
             restart_stop(upstream, run, now);
@@ -184,7 +251,7 @@
     if (found == upstreams_.end()) {
         return;
     }
-    begin_incarnation(found->second, found->second.boot_unix_ms, incarnation_source::refusal, now);
+    begin_incarnation(found->second, found->second.boot_unix_ms, incarnation_source::refusal, {}, now);
     found->second.is_unresponsive = true;
 }
 
--- a/src/version/cell_locations.cpp
+++ b/src/version/cell_locations.cpp
@@ -82,8 +82,11 @@
     return std::exchange(has_recorded_starts_, false);
 }
 
-bool cell_scheduler::is_held(const job_record& job, const step_ref& ref, const task_record& task,
-                             time_point now) const {
+bool cell_scheduler::is_held(const job_record& job, const step_ref& ref, std::uint32_t index,
+                             const task_record& task, time_point now) const {
+    if (may_start_late(ref, index, task)) {
+        return true;
+    }
     if (!job.is_inherited) {
         return false;
     }
@@ -104,6 +107,17 @@
     return found->second.may_have_inherited_runs || now < found->second.responded_at + get_longest_stop();
 }
 
+std::size_t cell_scheduler::count_held_tasks_of(const job_record& job, const step_ref& ref,
+                                                const step_state& step, time_point now) const {
+    std::size_t held = 0;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const auto& task = step.tasks[i];
+        const bool is_waiting = task.phase == task_phase::waiting;
+        held += is_waiting && is_held(job, ref, i, task, now) ? 1 : 0;
+    }
+    return held;
+}
+
 bool cell_scheduler::is_takeover_over(time_point now) const {
     return now >= get_leases_end(token_ - 1) && is_takeover_resolved(now);
 }
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -125,6 +125,9 @@
     const auto found = upstreams_.find(order.upstream);
     if (found != upstreams_.end()) {
         record_lease_in_start(found->second, order, response, now);
+        if (response.result == order_result::unknown) {
+            record_unanswered_start(found->second, order, now);
+        }
     }
     auto* run = found == upstreams_.end() ? nullptr : found->second.find_run(order.task, order.run);
     if (run == nullptr) {
@@ -199,6 +202,16 @@
     release_run(upstream, {order.task, order.run}, is_withdrawn ? now : now + order_repeat_delay);
 }
 
+void cell_scheduler::record_unanswered_start(upstream_ledger& upstream, const start_order& order,
+                                             time_point now) {
+    const run_key key{order.task, order.run};
+    upstream.unanswered_starts[key] = now + max_order_delay;
+    if (order.boot_unix_ms != upstream.boot_unix_ms) {
+        // The run ended before the restart, while this copy was in flight.
+        stop_late_start(upstream, key, now);
+    }
+}
+
 void cell_scheduler::record_start_health(upstream_ledger& upstream, const order_response& response,
                                          time_point now) {
     switch (response.result) {
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -116,16 +116,15 @@
         request_advice(job, ref, now, decisions);
     }
     if (spec.is_gang) {
-        const bool is_any_held = std::any_of(step.tasks.begin(), step.tasks.end(),
-                                             [&](const auto& task) { return is_held(job, ref, task, now); });
-        if (!is_any_held) {
+        if (count_held_tasks_of(job, ref, step, now) == 0) {
             place_gang(job, ref, now, decisions);
         }
         return;
     }
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         auto& task = step.tasks[index];
-        if (task.phase != task_phase::waiting || now < task.not_before || is_held(job, ref, task, now)) {
+        if (task.phase != task_phase::waiting || now < task.not_before ||
+            is_held(job, ref, index, task, now)) {
             continue;
         }
         if (starts_left_ == 0) {
@@ -253,8 +252,11 @@
 }
 
 std::uint64_t cell_scheduler::get_next_run(const task_record& task) const {
-    const auto first = ((token_ - 1) << run_number_bits) + 1;
-    return std::max(task.last_run + 1, first);
+    return std::max(task.last_run + 1, get_first_run());
+}
+
+std::uint64_t cell_scheduler::get_first_run() const {
+    return ((token_ - 1) << run_number_bits) + 1;
 }
 
 void cell_scheduler::request_advice(job_record& job, const step_ref& ref, time_point now,
--- a/src/version/cell_reports.cpp
+++ b/src/version/cell_reports.cpp
@@ -101,7 +101,7 @@
         if (report.boot_unix_ms < upstream.boot_unix_ms) {
             return;
         }
-        begin_incarnation(upstream, report.boot_unix_ms, incarnation_source::report, now);
+        begin_incarnation(upstream, report.boot_unix_ms, incarnation_source::report, report.running, now);
     }
     record_exposed_poll(upstream, true, now);
     mark_changed(upstream);
@@ -391,29 +391,20 @@
                                time_point now) {
     LOG(INFO) << "event=run_adopted task=" << row.task.to_string() << "/" << row.run
               << " upstream=" << upstream.entry.id.get() << " clock_ms=" << clock_ms << " token=" << token_;
-    run_record run;
+    auto* job = find_job(row.task.job);
+    auto* task = job == nullptr ? nullptr : job->find_task(row.task);
+    auto run = make_found_run(task == nullptr ? nullptr : job, row.task);
     run.phase = run_phase::running;
     run.seen_clock_ms = clock_ms;
-    run.started_at = now;
     run.percent_changed_clock_ms = clock_ms;
-    auto* job = find_job(row.task.job);
-    auto* task = job == nullptr ? nullptr : job->find_task(row.task);
+    // A long-running task at work has survived its start, which is what crashes an upstream.
+    run.started_at = run.is_long_running && row.percent >= at_work_percent ? time_point() : now;
     if (task == nullptr) {
-        run.is_size_unknown = true;
         begin_stop(upstream, run, now);
         upstream.add_run(row.task, row.run, run);
         return;
     }
-    const auto& spec = job->job->spec.steps[row.task.step];
-    run.committed = spec.get_reserved_size();
-    run.best_effort_milli = spec.is_best_effort ? spec.size.get_processors_milli() : 0;
-    run.is_long_running = spec.is_long_running;
-    // A long-running task at work has survived its start, which is what crashes an upstream.
-    run.started_at = spec.is_long_running && row.percent >= at_work_percent ? time_point() : now;
-    run.target_tail_ms = spec.target_tail_ms;
-    run.image = tail_model_.get_index(spec.image);
-    run.cpu_limit_percent = unknown_cpu_limit_percent;
-    run.earlier_crashes = get_earlier_crashes(*task, spec.is_long_running);
+    run.earlier_crashes = get_earlier_crashes(*task, run.is_long_running);
     const bool is_wanted =
         task->phase == task_phase::waiting && row.run > task->last_run && !is_final(job->pending_end);
     if (is_wanted) {
@@ -429,6 +420,22 @@
     upstream.add_run(row.task, row.run, run);
 }
 
+run_record cell_scheduler::make_found_run(const job_record* job, const task_ref& ref) {
+    run_record run;
+    if (job == nullptr) {
+        run.is_size_unknown = true;
+        return run;
+    }
+    const auto& spec = job->job->spec.steps[ref.step];
+    run.committed = spec.get_reserved_size();
+    run.best_effort_milli = spec.is_best_effort ? spec.size.get_processors_milli() : 0;
+    run.is_long_running = spec.is_long_running;
+    run.target_tail_ms = spec.target_tail_ms;
+    run.image = tail_model_.get_index(spec.image);
+    run.cpu_limit_percent = unknown_cpu_limit_percent;
+    return run;
+}
+
 std::chrono::milliseconds cell_scheduler::get_longest_stop() const {
     return limits_.stop_timeout + stop_margin;
 }
@@ -445,8 +452,12 @@
     std::vector<run_key> absent;
     for (auto& [key, run] : upstream.runs) {
         if (!listed.contains(&run) && upstream.is_of_earlier_incarnation(run)) {
-            absent.push_back(key);
-            continue;
+            if (!run.has_unknown_start) {
+                absent.push_back(key);
+                continue;
+            }
+            // Another copy of the start may still be carried out by this incarnation.
+            begin_stop(upstream, run, now);
         }
         const bool was_there = run.seen_clock_ms > 0 && report.clock_ms > run.seen_clock_ms;
         const bool is_excluded = run.stopped_clock_ms > 0 && report.clock_ms > run.stopped_clock_ms;
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -68,7 +68,8 @@
         while (!upstream.runs.empty()) {
             release_run(upstream, upstream.runs.begin()->first, now);
         }
-        if (!upstream.is_listed) {
+        upstream.remove_expired_starts(now);
+        if (!upstream.is_listed && upstream.unanswered_starts.empty()) {
             removed.push_back(id);
         }
     }
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -333,6 +333,8 @@
     };
     // A best-effort task that would get a lower CPU limit waits instead.
     static constexpr double min_useful_best_effort_gain = 0.85;
+    // An order without a response may be carried out this much later. The platform says "seconds".
+    static constexpr std::chrono::seconds max_order_delay{30};
     // Tickets that expire sooner are not used, since the start order has to arrive while they are valid.
     static constexpr std::chrono::milliseconds ticket_margin{250};
     // What the gain of a further best-effort task on an upstream is computed from. The same for all tasks, so
@@ -440,8 +442,12 @@
     std::optional<run_locations> make_locations(const job_record& job) const;
     // Sends the start orders of runs whose locations are durable now.
     void confirm_locations(const job_id& id, const run_locations& locations);
-    // Whether a run of the task by an earlier owner may still exist, so that the task cannot start.
-    bool is_held(const job_record& job, const step_ref& ref, const task_record& task, time_point now) const;
+    // Whether an earlier run of the task may still exist or begin, so that the task cannot start.
+    bool is_held(const job_record& job, const step_ref& ref, std::uint32_t index, const task_record& task,
+                 time_point now) const;
+    // Returns how many of the waiting tasks of the step are held for that.
+    std::size_t count_held_tasks_of(const job_record& job, const step_ref& ref, const step_state& step,
+                                    time_point now) const;
     // The longest time for which a run that is being stopped is in neither list of its upstream.
     std::chrono::milliseconds get_longest_stop() const;
 
@@ -463,10 +469,18 @@
     double get_crash_cost(const upstream_ledger& upstream, const task_record& task) const;
 
     // Restarts and leases of upstreams (cell_incarnations.cpp, cell_leases.cpp)
-    // Releases the runs of the previous incarnation. A run whose start order may have reached the new one is
-    // kept until a report or a response shows where it is: its task would otherwise run twice.
+    // Releases the runs of the previous incarnation. A run whose start order may have reached the new one, or
+    // may still reach it, is kept until a report or a response shows where it is: its task would otherwise
+    // run twice. The rows are those of the report that showed the restart, if one did.
     void begin_incarnation(upstream_ledger& upstream, std::int64_t boot_unix_ms, incarnation_source source,
-                           time_point now);
+                           const std::vector<running_row>& rows, time_point now);
+    bool may_be_in_next_incarnation(const upstream_ledger& upstream, const run_key& key,
+                                    const run_record& run, incarnation_source source, time_point now) const;
+    // Has the present incarnation refuse an unanswered start of a run that the ledger does not have any more.
+    void stop_late_start(upstream_ledger& upstream, const run_key& key, time_point now);
+    // Whether a start order for an earlier run of the task may still be carried out by an upstream that has
+    // restarted.
+    bool may_start_late(const step_ref& ref, std::uint32_t index, const task_record& task) const;
     // Sets when the leases end that the new incarnation may hold already.
     void expect_leases_of_incarnation(upstream_ledger& upstream, incarnation_source source, time_point now);
     // Allows for a foreign lease that began by this time.
@@ -511,6 +525,8 @@
     void apply_running(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms,
                        time_point now);
     void adopt_run(upstream_ledger& upstream, const running_row& row, std::int64_t clock_ms, time_point now);
+    // Returns the record of a run that this owner did not start. Without a task its size is unknown.
+    run_record make_found_run(const job_record* job, const task_ref& ref);
     void release_absent_runs(upstream_ledger& upstream, const upstream_report& report, time_point now);
     // Removes a run that is known not to be on the upstream although no end was reported, and requeues its
     // task.
@@ -531,6 +547,8 @@
     // Responses to orders (cell_orders.cpp)
     void apply_start_response(const start_order& order, const order_response& response, time_point now);
     void apply_stop_response(const stop_order& order, const order_response& response, time_point now);
+    // Records that the order may still be carried out, whatever becomes of its run.
+    void record_unanswered_start(upstream_ledger& upstream, const start_order& order, time_point now);
     // Records whether the upstream takes start orders.
     void record_start_health(upstream_ledger& upstream, const order_response& response, time_point now);
     void log_start_pause(const upstream_ledger& upstream, time_point now) const;
@@ -710,6 +728,8 @@
     // Forgets all tickets for the upstream.
     void drop_tickets(const upstream_id& upstream);
     std::uint64_t get_next_run(const task_record& task) const;
+    // Returns the lowest number of the runs that this owner starts.
+    std::uint64_t get_first_run() const;
     start_order make_start(upstream_ledger& upstream, const job_record& job, const task_ref& task,
                            std::uint64_t run, const std::string& ticket, time_point now);
 
--- a/src/version/cell_summary.cpp
+++ b/src/version/cell_summary.cpp
@@ -68,12 +68,7 @@
             if (!step.is_released) {
                 continue;
             }
-            const step_ref ref{job.id, number, i};
-            const auto is_waiting_and_held = [&](const task_record& task) {
-                return task.phase == task_phase::waiting && is_held(job, ref, task, now);
-            };
-            held += static_cast<std::size_t>(
-                std::count_if(step.tasks.begin(), step.tasks.end(), is_waiting_and_held));
+            held += count_held_tasks_of(job, {job.id, number, i}, step, now);
         }
     }
     return held;
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -47,6 +47,14 @@
     scheduler->list_upstream(entry, clock->get_now());
 }
 
+void cell_fixture::list_upstream(const upstream_id& id) {
+    for (const auto& entry : entries) {
+        if (entry.id == id) {
+            scheduler->list_upstream(entry, clock->get_now());
+        }
+    }
+}
+
 accepted_job cell_fixture::make_job(std::vector<step_spec> steps, std::uint32_t max_attempts) {
     accepted_job job;
     job.rules.queue = queue;
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -34,6 +34,8 @@
     // stored list of upstreams unless has_upstream_list is false.
     void take_over(bool has_upstream_list = true);
     void add_upstream(const std::string& id, resource_vector capacity = {16000, 64000, 0, 0});
+    // Lists an upstream again that is not listed.
+    void list_upstream(const upstream_id& id);
     // Has each upstream accept a start, so that it may get several at a time.
     void prove_upstreams();
     // Has the next owner be a process that starts now: of all owners it sees only the present one.
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -51,20 +51,40 @@
     }
 
     // The owner learns the same from the list of the platform.
-    void list() {
+    void list(std::int64_t boot = second_boot) {
         auto& entry = get_entry();
-        entry.boot_unix_ms = second_boot;
+        entry.boot_unix_ms = boot;
         cell.scheduler->list_upstream(entry, cell.clock->get_now());
     }
 
     // The new incarnation has no room for the task, so that it would start again on the other upstream only.
-    void list_without_room() {
+    void list_without_room(std::int64_t boot = second_boot) {
         get_entry().capacity = resource_vector();
-        list();
+        list(boot);
     }
 
     void restart() { cell.upstreams.restart(start.upstream, second_boot); }
 
+    // No copy of the start gets a response, so that the run is stopped and the task starts anew.
+    void leave_start_unanswered() {
+        cell.behaviors["job"].work_ms = 30000;
+        apply({order_result::unknown, 0});
+        for (int copy = 0; copy < 2; ++copy) {
+            cell.clock->advance(milliseconds(1100));
+            BOOST_REQUIRE_EQUAL(get_starts(cell.scheduler->decide(cell.read_clock(), true)).size(), 1U);
+            apply({order_result::unknown, 0});
+        }
+        cell.run_for(seconds(5));
+        cell.behaviors["job"].work_ms = 2000;
+    }
+
+    // The first copy of the start gets no response, the second one is answered, and a report lists the run.
+    void list_answered_copy() {
+        apply({order_result::unknown, 0});
+        cell.run_for(milliseconds(500));
+        BOOST_REQUIRE_EQUAL(cell.upstreams.count_running(start.upstream), 1U);
+    }
+
     // The upstream carries out the order.
     order_response deliver() { return cell.upstreams.send_now(start, cell.token); }
 
@@ -385,6 +405,185 @@
     fixture.check_done(1);
 }
 
+// Guards against a second run by a copy of the start that got no response, while another copy was answered
+// and the run was listed: the restart released the run, and the new incarnation carried out the copy.
+BOOST_AUTO_TEST_CASE(an_unanswered_copy_of_an_answered_start_is_stopped_in_the_new_incarnation) {
+    for (const bool is_reported : {true, false}) {
+        restart_fixture fixture;
+        fixture.list_answered_copy();
+        fixture.restart();
+        if (is_reported) {
+            fixture.report();
+        }
+        fixture.list_without_room();
+        fixture.cell.run_for(milliseconds(100));
+        fixture.deliver();
+        fixture.check_done(2);
+    }
+}
+
+// Guards against the same after a second restart, before which the copy had not come.
+BOOST_AUTO_TEST_CASE(an_unanswered_copy_that_outlives_two_restarts_is_stopped) {
+    restart_fixture fixture;
+    fixture.list_answered_copy();
+    fixture.restart();
+    fixture.report();
+    fixture.cell.run_for(milliseconds(100));
+    fixture.cell.upstreams.restart(fixture.start.upstream, second_boot + 1);
+    fixture.report();
+    fixture.list_without_room(second_boot + 1);
+    fixture.cell.run_for(milliseconds(100));
+    fixture.deliver();
+    fixture.check_done(2);
+}
+
+// Guards against the same when the copy that was answered is in flight at the restart and the previous
+// incarnation has accepted it: the run is in neither incarnation, and must not be kept for ever either.
+BOOST_AUTO_TEST_CASE(an_unanswered_copy_beside_one_in_flight_is_stopped_in_the_new_incarnation) {
+    for (const bool is_carried_out : {true, false}) {
+        restart_fixture fixture;
+        auto& cell = fixture.cell;
+        fixture.apply({order_result::unknown, 0});
+        cell.clock->advance(milliseconds(300));
+        BOOST_REQUIRE_EQUAL(get_starts(cell.scheduler->decide(cell.read_clock(), true)).size(), 1U);
+        const auto response = fixture.deliver();
+        fixture.restart();
+        fixture.report();
+        fixture.apply(response);
+        fixture.list_without_room();
+        cell.run_for(milliseconds(100));
+        if (is_carried_out) {
+            fixture.deliver();
+        }
+        fixture.check_done(3);
+    }
+}
+
+// Guards against a second run by an unanswered start whose run had been stopped before the restart, and whose
+// task waits or runs elsewhere: the new incarnation knows of no stop.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_of_a_stopped_run_is_stopped_again) {
+    restart_fixture fixture;
+    auto& cell = fixture.cell;
+    fixture.leave_start_unanswered();
+    BOOST_REQUIRE_EQUAL(cell.upstreams.count_running(fixture.start.upstream), 0U);
+    BOOST_REQUIRE_EQUAL(cell.upstreams.count_running(), 1U);
+    fixture.restart();
+    fixture.report();
+    cell.run_for(milliseconds(40));
+    fixture.deliver();
+    BOOST_TEST(cell.upstreams.count_running(fixture.start.upstream) == 0U);
+    cell.run_for(seconds(20));
+    fixture.check_done(1);
+}
+
+// Guards against a second run by an unanswered start of a run that was given back, when a later run of the
+// task on the same upstream ends with the restart: the task must wait until the start is refused.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_holds_a_task_that_ran_on_the_same_upstream_again) {
+    restart_fixture fixture;
+    auto& cell = fixture.cell;
+    const auto& other = cell.entries[fixture.start.upstream == cell.entries[0].id ? 1 : 0].id;
+    cell.scheduler->unlist_upstream(other);
+    fixture.leave_start_unanswered();
+    BOOST_REQUIRE_EQUAL(cell.upstreams.count_running(fixture.start.upstream), 1U);
+    cell.list_upstream(other);
+    fixture.restart();
+    fixture.report();
+    fixture.list_without_room();
+    BOOST_TEST(get_starts(cell.scheduler->decide(cell.read_clock(), true)).empty());
+    cell.run_for(milliseconds(100));
+    fixture.deliver();
+    fixture.check_done(2);
+}
+
+// Guards against a gang of which one member starts late in the new incarnation beside the next run of the
+// others.
+BOOST_AUTO_TEST_CASE(an_unanswered_copy_holds_the_whole_gang) {
+    cell_fixture cell(2);
+    cell.prove_upstreams();
+    auto step = cell_fixture::make_step(4);
+    step.is_gang = true;
+    std::vector<start_order> lost;
+    cell.loses_order = [&](const upstream_order& order) {
+        const auto* start = std::get_if<start_order>(&order);
+        if (start == nullptr || !lost.empty()) {
+            return false;
+        }
+        lost.push_back(*start);
+        return true;
+    };
+    cell.add_job("gang", cell_fixture::make_job({step}), 6000);
+    cell.run_for(milliseconds(1500));
+    BOOST_REQUIRE_EQUAL(lost.size(), 1U);
+    BOOST_REQUIRE_EQUAL(cell.upstreams.count_running(), 4U);
+    const auto& copy = lost.front();
+    auto& entry = cell.entries[copy.upstream == cell.entries[0].id ? 0 : 1];
+    entry.boot_unix_ms = second_boot;
+    cell.upstreams.restart(entry.id, second_boot);
+    cell.scheduler->list_upstream(entry, cell.clock->get_now());
+    cell.run_for(milliseconds(100));
+    cell.upstreams.send_now(copy, cell.token);
+    cell.run_for(seconds(20));
+    BOOST_TEST((cell.get_state("gang") == job_phase::done));
+    BOOST_TEST(cell.upstreams.get_violations().empty());
+}
+
+// Guards against a second run after a takeover when the next incarnation of an upstream is listed before it
+// has received the new fencing token, and carries out a start that the previous owner had no response to.
+BOOST_AUTO_TEST_CASE(runs_of_earlier_owners_wait_for_a_report_of_the_new_incarnation) {
+    restart_fixture fixture;
+    auto& cell = fixture.cell;
+    fixture.list_answered_copy();
+    cell.take_over();
+    cell.run_for(milliseconds(200));
+    BOOST_REQUIRE_EQUAL(cell.scheduler->get_run_count(), 1U);
+    fixture.restart();
+    fixture.list_without_room();
+    cell.clock->advance(milliseconds(20));
+    BOOST_TEST(get_starts(cell.scheduler->decide(cell.read_clock(), true)).empty());
+    const auto previous_token = cell.token - 1;
+    BOOST_TEST((cell.upstreams.send_now(fixture.start, previous_token).result == order_result::accepted));
+    fixture.check_done(2);
+}
+
+// Guards against the same when the report that shows the restart lists the late run.
+BOOST_AUTO_TEST_CASE(a_late_run_of_an_earlier_owner_in_the_first_report_is_kept) {
+    restart_fixture fixture;
+    auto& cell = fixture.cell;
+    fixture.list_answered_copy();
+    cell.take_over();
+    cell.run_for(milliseconds(200));
+    fixture.restart();
+    cell.upstreams.send_now(fixture.start, cell.token - 1);
+    fixture.report();
+    BOOST_TEST(get_starts(cell.scheduler->decide(cell.read_clock(), true)).empty());
+    fixture.check_done(2);
+}
+
+// Guards against tasks that wait for starts which come no more: an upstream that restarts long after a copy
+// had no response holds nothing.
+BOOST_AUTO_TEST_CASE(unanswered_copies_are_forgotten) {
+    restart_fixture fixture;
+    auto& cell = fixture.cell;
+    cell.behaviors["job"].work_ms = 60000;
+    fixture.list_answered_copy();
+    cell.run_for(seconds(31));
+    fixture.restart();
+    fixture.report();
+    BOOST_TEST(get_starts(cell.scheduler->decide(cell.read_clock(), true)).size() == 1U);
+}
+
+// Guards against tasks that wait longer than for a stop in the new incarnation.
+BOOST_AUTO_TEST_CASE(a_task_with_an_unanswered_copy_starts_again_after_the_stop) {
+    restart_fixture fixture;
+    auto& cell = fixture.cell;
+    fixture.list_answered_copy();
+    fixture.restart();
+    fixture.report();
+    const auto starts_before = cell.upstreams.get_start_count();
+    cell.run_for(cell.limits.stop_timeout + milliseconds(300));
+    BOOST_TEST(cell.upstreams.get_start_count() == starts_before + 1);
+}
+
 // Guards against all of the above in any order: restarts that overtake orders, polls and their responses.
 BOOST_AUTO_TEST_CASE(restarts_under_traffic_start_no_task_twice) {
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
