Derive calls for advice from the times of the queue

Cause: a call was given up after a fixed 3 s, though DecideMs and IntervalMs say how long it takes; a call without an answer counted as one that allowed nothing, so that the same list was sent again for ever. Ruled out: policy, room, validity of the tickets; the stand-in's record shows an answer after the caller had gone for each call.

Change: the expected time of an answer follows from the queue's times and the calls in front; a call is given up when its tickets would have run out.

The suites cell_advice, cell_member, cell_restart, evacuation, cell_scheduler and owner_loop pass.

--- a/src/connection/memory_upstreams.cpp
+++ b/src/connection/memory_upstreams.cpp
@@ -93,7 +93,23 @@
     co_return send_now(order, token);
 }
 
-awaitable<absl::StatusOr<advice_response>> memory_upstreams::advise(advice_request request, time_point) {
+void memory_upstreams::set_advice_time(milliseconds decide_time, milliseconds interval) {
+    std::lock_guard lock(mutex_);
+    decide_time_ = decide_time;
+    advice_interval_ = interval;
+}
+
+awaitable<absl::StatusOr<advice_response>> memory_upstreams::advise(advice_request request,
+                                                                    time_point deadline) {
+    auto answers_at = std::chrono::steady_clock::now();
+    {
+        std::lock_guard lock(mutex_);
+        answers_at += decide_time_ + advice_interval_ * request.upstreams.size();
+    }
+    co_await wait_until(std::min(answers_at, deadline));
+    if (deadline < answers_at) {
+        co_return make_error(error_kind::upstream_lost, "the advice service has not answered in time");
+    }
     advice_response response;
     response.valid_ms = 3000;
     for (const auto& id : request.upstreams) {
--- a/src/connection/memory_upstreams.hpp
+++ b/src/connection/memory_upstreams.hpp
@@ -64,6 +64,8 @@
     void set_partitioned(const upstream_id& id, bool is_partitioned);
     // Sets the longest lease that all upstreams accept.
     void set_max_accepted_lease(std::chrono::milliseconds length);
+    // Sets how long a call for advice takes: a fixed time, and a further one for each upstream.
+    void set_advice_time(std::chrono::milliseconds decide_time, std::chrono::milliseconds interval);
     // Makes all runs that finish on the upstream fail.
     void set_failing(const upstream_id& id, bool is_failing);
     // Ends the runs that are due to end by the clock.
@@ -112,6 +114,8 @@
     const task_model model_;
     mutable ordered_mutex mutex_{lock_rank::standin};
     std::map<upstream_id, simulated_upstream> upstreams_;
+    std::chrono::milliseconds decide_time_{0};
+    std::chrono::milliseconds advice_interval_{0};
     std::chrono::milliseconds max_accepted_lease_ = cell_limits().max_accepted_lease;
     // The number of failed runs of each task, and the tasks whose end as done was acknowledged.
     std::map<task_ref, std::uint32_t> failed_runs_;
--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -484,19 +484,22 @@
 }
 
 awaitable<void> cell_owner::fetch_advice(advice_request request) {
-    constexpr milliseconds advice_timeout{3000};
-    const auto deadline = std::chrono::steady_clock::now() + advice_timeout;
+    // A late answer is used as long as its tickets would be.
+    const auto deadline =
+        std::max(request.useful_until, request.expected_at + get_call_timeout(min_order_timeout));
     const auto response = co_await ports_.upstreams.advise(request, deadline);
     const auto now = std::chrono::steady_clock::now();
     LOG(INFO) << "event=advice step=" << request.step.to_string() << " asked=" << request.upstreams.size()
-              << " allowed=" << (response.ok() ? response->allowed.size() : 0) << " error="
+              << " allowed=" << (response.ok() ? response->allowed.size() : 0)
+              << " late_ms=" << std::chrono::duration_cast<milliseconds>(now - request.expected_at).count()
+              << " error="
               << (response.ok() ? "none" : get_error_mapping(get_error_kind(response.status())).name);
     {
         std::lock_guard lock(mutex_);
         if (response.ok()) {
-            scheduler_.apply_advice(request, response->allowed, now + milliseconds(response->valid_ms));
+            scheduler_.apply_advice(request, response->allowed, now + milliseconds(response->valid_ms), now);
         } else {
-            scheduler_.apply_advice(request, {}, now);
+            scheduler_.record_failed_advice(request, now);
         }
     }
     wake_.notify_all();
--- a/src/version/cell_orders.cpp
+++ b/src/version/cell_orders.cpp
@@ -88,12 +88,8 @@
         return false;
     }
     const auto* queue = find_queue(job->second);
-    if (queue == nullptr || !queue->advice) {
-        return true;
-    }
-    const auto tickets = tickets_.find(ref.get_step());
-    return tickets != tickets_.end() && now + ticket_margin < tickets->second.valid_until &&
-           tickets->second.tickets.contains(upstream.entry.id);
+    const bool needs_ticket = queue != nullptr && queue->advice.has_value();
+    return !needs_ticket || find_ticket(ref.get_step(), upstream.entry.id, now) != nullptr;
 }
 
 void cell_scheduler::begin_stop(upstream_ledger& upstream, run_record& run, time_point now) {
@@ -178,6 +174,11 @@
         case order_result::refused_busy:
             record_failure(upstream, order.task.job, false, run->started_at, now);
             break;
+        case order_result::refused_ticket:
+            if (const auto tickets = tickets_.find(order.task.get_step()); tickets != tickets_.end()) {
+                tickets->second.remove(order.upstream);
+            }
+            break;
         default:
             break;
     }
--- a/src/version/cell_placement.cpp
+++ b/src/version/cell_placement.cpp
@@ -19,8 +19,6 @@
 // A start order that reaches its upstream later is refused: the upstream may be leaving by then. Polls renew
 // the lease for longer.
 constexpr std::chrono::milliseconds max_start_delay{2000};
-// Upstreams named in one request to the advice service.
-constexpr std::size_t max_advised_upstreams = 20;
 
 }  // namespace
 
@@ -66,6 +64,7 @@
         }
         update_waiting(*job);
     }
+    request_advice(now, decisions);
     create_reservations(now);
     // Tasks that are moved rank after all that wait.
     order_position_ = order.size();
@@ -112,15 +111,21 @@
     const step_ref ref{job.id, occurrence.number, number};
     const auto& spec = job.job->spec.steps[number];
     record_demand(spec, now);
-    if (const auto* queue = find_queue(job); queue != nullptr && queue->advice) {
-        request_advice(job, ref, now, decisions);
-    }
     if (spec.is_gang) {
         if (count_held_tasks_of(job, ref, step, now) == 0) {
             place_gang(job, ref, now, decisions);
         }
-        return;
+    } else {
+        place_tasks(job, ref, step, now, decisions);
     }
+    const auto* queue = find_queue(job);
+    if (queue != nullptr && queue->advice && step.get_waiting_tasks() > 0) {
+        advice_steps_.push_back({ref, step.active_tasks > 0});
+    }
+}
+
+void cell_scheduler::place_tasks(job_record& job, const step_ref& ref, step_state& step, time_point now,
+                                 cell_decisions& decisions) {
     for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
         auto& task = step.tasks[index];
         if (task.phase != task_phase::waiting || now < task.not_before ||
@@ -140,7 +145,7 @@
             }
             return;
         }
-        start_task(job, {ref.job, ref.occurrence, number, index}, *chosen, get_next_run(task), now,
+        start_task(job, {ref.job, ref.occurrence, ref.step, index}, *chosen, get_next_run(task), now,
                    decisions);
     }
 }
@@ -259,76 +264,4 @@
     return ((token_ - 1) << run_number_bits) + 1;
 }
 
-void cell_scheduler::request_advice(job_record& job, const step_ref& ref, time_point now,
-                                    cell_decisions& decisions) {
-    auto& tickets = tickets_[ref];
-    if (tickets.is_pending) {
-        return;
-    }
-    if (now + ticket_margin < tickets.valid_until && !tickets.tickets.empty()) {
-        return;
-    }
-    if (now + ticket_margin >= tickets.valid_until) {
-        tickets.tickets.clear();
-    }
-    const auto terms = make_terms(job, ref, now);
-    std::vector<std::pair<double, upstream_id>> candidates;
-    for (const auto& ranked : index_.get_ranking(terms.kind)) {
-        const auto& upstream = index_.get_upstream(ranked.slot);
-        if (tickets.requested.contains(upstream.entry.id)) {
-            continue;
-        }
-        if (const auto cost = evaluate(upstream, terms, now)) {
-            candidates.emplace_back(*cost, upstream.entry.id);
-        }
-    }
-    if (candidates.empty()) {
-        // Tickets have been requested for all eligible upstreams. A later decision requests them again, since
-        // tickets expire.
-        tickets.requested.clear();
-        return;
-    }
-    std::sort(candidates.begin(), candidates.end());
-    candidates.resize(std::min(candidates.size(), max_advised_upstreams));
-    advice_request request;
-    request.step = ref;
-    for (const auto& [cost, id] : candidates) {
-        request.upstreams.push_back(id);
-        tickets.requested.insert(id);
-    }
-    tickets.is_pending = true;
-    decisions.advice.push_back(std::move(request));
-}
-
-void cell_scheduler::drop_tickets(const upstream_id& upstream) {
-    // A step that holds tickets for other upstreams too uses those. Without any, it requests others.
-    for (auto& [step, tickets] : tickets_) {
-        if (tickets.tickets.erase(upstream) > 0 && tickets.tickets.empty()) {
-            tickets.requested.clear();
-        }
-        tickets.requested.erase(upstream);
-    }
-}
-
-void cell_scheduler::apply_advice(const advice_request& request,
-                                  const std::vector<std::pair<upstream_id, std::string>>& allowed,
-                                  time_point valid_until) {
-    const auto found = tickets_.find(request.step);
-    if (found == tickets_.end()) {
-        return;
-    }
-    found->second.is_pending = false;
-    if (allowed.empty()) {
-        return;
-    }
-    found->second.valid_until = valid_until;
-    for (const auto& [id, ticket] : allowed) {
-        const auto* upstream = find_upstream(id);
-        // Its evacuation may have begun after the request.
-        if (upstream == nullptr || !is_evacuated(*upstream)) {
-            found->second.tickets[id] = ticket;
-        }
-    }
-}
-
 }  // namespace jacinthvane
--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -156,13 +156,10 @@
     run.is_order_sent = true;
     run.is_start_in_flight = true;
     --starts_left_;
-    const auto tickets = tickets_.find(key.first.get_step());
-    std::string ticket;
-    if (tickets != tickets_.end() && tickets->second.tickets.contains(upstream.entry.id)) {
-        ticket = tickets->second.tickets.at(upstream.entry.id);
-    }
+    const auto* ticket = find_ticket(key.first.get_step(), upstream.entry.id, now);
     const auto& job = jobs_.at(key.first.job);
-    orders.emplace_back(make_start(upstream, job, key.first, key.second, ticket, now));
+    orders.emplace_back(
+        make_start(upstream, job, key.first, key.second, ticket == nullptr ? std::string() : *ticket, now));
 }
 
 void cell_scheduler::stop_stalled_runs(upstream_ledger& upstream, time_point now) {
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -26,6 +26,7 @@
 #include "process/placement_forecast.hpp"
 #include "process/reservation_table.hpp"
 #include "process/run_locations.hpp"
+#include "process/step_tickets.hpp"
 #include "process/tail_model.hpp"
 #include "process/takeover_notes.hpp"
 #include "process/upstream_entry.hpp"
@@ -33,6 +34,7 @@
 #include "process/upstream_ledger.hpp"
 #include "process/upstream_order.hpp"
 #include "process/upstream_report.hpp"
+#include "version/advice_calls.hpp"
 #include "version/evacuation_state.hpp"
 #include "version/queue_index.hpp"
 
@@ -86,6 +88,10 @@
 struct advice_request {
     step_ref step;
     std::vector<upstream_id> upstreams;
+    // When the answer is expected, by the times that the configuration gives for the queue.
+    time_point expected_at;
+    // Until when the tickets of an answer that comes as expected are valid.
+    time_point useful_until;
 
     bool operator==(const advice_request&) const = default;
 };
@@ -180,8 +186,10 @@
     void apply_order_response(const upstream_order& order, const order_response& response,
                               clock_reading clock);
     void apply_advice(const advice_request& request,
-                      const std::vector<std::pair<upstream_id, std::string>>& tickets,
-                      time_point valid_until);
+                      const std::vector<std::pair<upstream_id, std::string>>& tickets, time_point valid_until,
+                      time_point now);
+    // Records that the call got no answer with tickets.
+    void record_failed_advice(const advice_request& request, time_point now);
 
     // Decides starts, stops and CPU limits. may_start is false while ownership is not proven. At most
     // max_starts tasks start, except that a gang starts as a whole: tasks whose start orders could not be
@@ -273,11 +281,10 @@
         job_phase state = job_phase::done;
         std::int64_t ended_unix_ms = 0;
     };
-    struct step_tickets {
-        std::map<upstream_id, std::string> tickets;
-        std::set<upstream_id> requested;
-        time_point valid_until;
-        bool is_pending = false;
+    // A step with waiting tasks that needs tickets.
+    struct advice_step {
+        step_ref step;
+        bool has_runs = false;
     };
     // The upstream chosen for a task, with the ticket that its start needs.
     struct placement {
@@ -649,6 +656,20 @@
                     cell_decisions& decisions);
     void place_gang(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
 
+    // Places the waiting tasks of a step that is no gang.
+    void place_tasks(job_record& job, const step_ref& ref, step_state& step, time_point now,
+                     cell_decisions& decisions);
+
+    // Tickets of the advice service (cell_advice.cpp)
+    // Requests tickets for the steps of which this decision left tasks waiting.
+    void request_advice(time_point now, cell_decisions& decisions);
+    // Requests tickets for upstreams that have room for the step, if there are any without one.
+    void request_advice(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
+    // Forgets what the advice service has said about the upstream.
+    void drop_tickets(const upstream_id& upstream);
+    // Returns null if there is no ticket that a start order can still use.
+    const std::string* find_ticket(const step_ref& step, const upstream_id& upstream, time_point now) const;
+
     // Room that is held for large tasks (cell_reservations.cpp)
     void record_demand(const step_spec& spec, time_point now);
     // Records that a task of the step fits nowhere, if room may be held for the step.
@@ -724,9 +745,6 @@
     void record_gain(image_index image, double gain, time_point now);
     void start_task(job_record& job, const task_ref& task, const placement& chosen, std::uint64_t run,
                     time_point now, cell_decisions& decisions);
-    void request_advice(job_record& job, const step_ref& step, time_point now, cell_decisions& decisions);
-    // Forgets all tickets for the upstream.
-    void drop_tickets(const upstream_id& upstream);
     std::uint64_t get_next_run(const task_record& task) const;
     // Returns the lowest number of the runs that this owner starts.
     std::uint64_t get_first_run() const;
@@ -758,6 +776,9 @@
     std::set<job_id> commit_batch_;
     std::map<upstream_id, progress_commit::end_mark> batch_ends_;
     std::map<step_ref, step_tickets> tickets_;
+    // The steps of the present decision that need tickets, in the order of their jobs.
+    std::vector<advice_step> advice_steps_;
+    advice_calls advice_calls_;
     // Moving average of the work per job, by queue; see rank_job.
     std::map<std::string, double> mean_work_;
     duration_model durations_;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -87,8 +87,7 @@
     const auto* queue = find_queue(job);
     const bool needs_ticket = queue != nullptr && queue->advice.has_value();
     const auto tickets = tickets_.find(ref);
-    const bool has_tickets = tickets != tickets_.end() && now + ticket_margin < tickets->second.valid_until;
-    if (needs_ticket && !has_tickets) {
+    if (needs_ticket && tickets == tickets_.end()) {
         return std::nullopt;
     }
     resume_search(job, ref, wanted, now);
@@ -100,7 +99,8 @@
         }
         return std::nullopt;
     }
-    return placement{upstream, needs_ticket ? tickets->second.tickets.at(upstream->entry.id) : std::string()};
+    const auto* ticket = needs_ticket ? find_ticket(ref, upstream->entry.id, now) : nullptr;
+    return placement{upstream, ticket == nullptr ? std::string() : *ticket};
 }
 
 cell_scheduler::unplaced_kind cell_scheduler::make_kind(const job_record& job, const step_ref& step) const {
@@ -278,7 +278,7 @@
         passed.push_back(first);
         const auto& upstream = index_.get_upstream(first.slot);
         const auto& id = upstream.entry.id;
-        if ((tickets != nullptr && !tickets->tickets.contains(id)) ||
+        if ((tickets != nullptr && tickets->find(id, now + ticket_margin) == nullptr) ||
             !may_share(upstream, task, search_.terms.spec->is_long_running, now)) {
             continue;
         }
--- a/tests/cell_member_test.cpp
+++ b/tests/cell_member_test.cpp
@@ -43,6 +43,10 @@
     return rules;
 }
 
+advice_settings make_slow_advice() {
+    return {3200, 10, 5000};
+}
+
 // Members of one cell over a store, a registry and upstreams in this process.
 struct cell_parts {
     cell_parts() {
@@ -76,6 +80,19 @@
         return member;
     }
 
+    // The queue needs the advice of a slow service.
+    void use_slow_advice() {
+        dispatch_config config;
+        config.version = 2;
+        queue_settings settings;
+        settings.rules = make_rules();
+        settings.advice = make_slow_advice();
+        config.queues.push_back(settings);
+        registry->set_config(std::make_shared<const dispatch_config>(config));
+        upstreams->set_advice_time(milliseconds(settings.advice->decide_ms),
+                                   milliseconds(settings.advice->interval_ms));
+    }
+
     // Writes the notice of an owner that is overloaded for this long.
     void write_overload(std::int64_t span_ms) {
         store_transaction transaction;
@@ -449,4 +466,23 @@
     });
 }
 
+// Guards against answers of an advice service that are thrown away because the service takes longer than a
+// fixed time-out: the job would never start.
+BOOST_AUTO_TEST_CASE(advice_that_takes_longer_than_other_calls_is_used) {
+    cell_parts cell;
+    cell.use_slow_advice();
+    const auto member = cell.add_member("one");
+    job_submission jobs(cell.context, cell_store(cell.store), member, cell.counters);
+    run_coroutine(cell.context, [&]() -> awaitable<void> {
+        BOOST_TEST(co_await wait_for_owner(member));
+        const job_id id("00000000000000aa");
+        const auto rules = make_rules();
+        const auto spec = make_spec(2);
+        const auto status = co_await jobs.submit(rules, id, spec, after(seconds(2)));
+        BOOST_TEST(status.ok());
+        const auto state = co_await wait_for_end(jobs, id);
+        BOOST_TEST((state == job_phase::done));
+    });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -328,7 +328,8 @@
     cell.add_job("job", cell_fixture::make_job({cell_fixture::make_step(1)}));
     const auto request = cell.scheduler->decide(cell.read_clock(), true).advice.front();
     auto& entry = cell.entries.front();
-    cell.scheduler->apply_advice(request, {{entry.id, "ticket"}}, cell.clock->get_now() + seconds(60));
+    cell.scheduler->apply_advice(request, {{entry.id, "ticket"}}, cell.clock->get_now() + seconds(60),
+                                 cell.clock->get_now());
     entry.boot_unix_ms = second_boot;
     cell.upstreams.restart(entry.id, second_boot);
     cell.scheduler->list_upstream(entry, cell.clock->get_now());
--- a/tests/evacuation_test.cpp
+++ b/tests/evacuation_test.cpp
@@ -265,13 +265,14 @@
     const auto request = decide().advice.front();
     const auto valid_until = cell.clock->get_now() + seconds(60);
     const upstream_id there("u0");
-    cell.scheduler->apply_advice(request, {{there, "ticket"}}, valid_until);
+    cell.scheduler->apply_advice(request, {{there, "ticket"}}, valid_until, cell.clock->get_now());
     cell.begin();
     const auto next = decide();
     BOOST_TEST(next.orders.empty());
     BOOST_REQUIRE(next.advice.size() == 1U);
     // Also one that was requested before the evacuation.
-    cell.scheduler->apply_advice(next.advice.front(), {{there, "ticket"}}, valid_until);
+    cell.scheduler->apply_advice(next.advice.front(), {{there, "ticket"}}, valid_until,
+                                 cell.clock->get_now());
     BOOST_TEST(decide().orders.empty());
 }
 
