Start nothing on an incarnation before its entry is read

Cause: when a report showed a restart, begin_incarnation took the entry of the previous incarnation over as that of the new one, with its labels, capacity and service; changes of the platform's list come up to 300 ms later. Ruled out: the check of labels, which ran on old values, and a slow store.

Change: the ledger keeps the incarnation that the newest entry of the platform belongs to, and nothing starts before that is the present one; late entries of earlier incarnations are ignored; a stored list does not make an entry current. The owner reads the list at once when a report shows a restart, and every 20 ms until the entry is there. The tests' platform lists upstreams that have restarted, as the real one does; it kept the first entry for ever.

--- a/src/process/upstream_ledger.hpp
+++ b/src/process/upstream_ledger.hpp
@@ -205,6 +205,10 @@
     std::int64_t clock_ms = 0;
     time_point clock_read_at;
     std::int64_t boot_unix_ms = 0;
+    // The incarnation to which the newest entry of the platform belongs; 0 if it does not tell.
+    std::int64_t listed_boot_unix_ms = 0;
+    // When the entry of the present incarnation was first missed.
+    time_point entry_missed_at;
     // Until when the lease lasts that the poll in flight renews, and the one that an answered poll renewed.
     time_point offered_lease_until;
     time_point confirmed_lease_until;
@@ -276,6 +280,9 @@
         return run.is_incarnation_unknown && !run.is_start_in_flight && run.accepted_at < polled_at;
     }
     bool has_unknown_incarnations() const;
+    // Whether the entry is that of the present incarnation. The next one under the same id may have other
+    // labels, another capacity and another service.
+    bool has_current_entry() const { return listed_boot_unix_ms == 0 || listed_boot_unix_ms == boot_unix_ms; }
     // Whether the ledger has a run of the task.
     bool has_run_of(const task_ref& task) const;
     // Forgets the unanswered starts that are not carried out any more.
--- a/src/request/cell_owner.hpp
+++ b/src/request/cell_owner.hpp
@@ -171,6 +171,8 @@
     // upstream must leave the list: the next owner would wait for it until every lease that was ever granted
     // there must have expired.
     bool is_recorded_list_outdated() const;
+    // Whether the entry of an upstream that has restarted is still expected.
+    bool misses_entries(time_point now) const;
 
     // Adds jobs and cancellations from the store, with their recorded progress if there is any.
     void apply_job_items(const std::vector<store_item>& items, const std::map<job_id, job_progress>& known);
@@ -245,6 +247,8 @@
     // waits to be written, and when a commit has been written.
     async_signal wake_;
     async_signal upstreams_changed_;
+    // A report has shown an incarnation of which the entry has not been read.
+    async_signal missed_entries_;
     async_signal progress_;
     async_signal committed_;
 };
--- a/src/request/cell_upstreams.cpp
+++ b/src/request/cell_upstreams.cpp
@@ -158,10 +158,13 @@
     constexpr milliseconds margin{700};
     // Registry entries change frequently; changes within this time are read with one call.
     constexpr milliseconds batch_window{300};
+    // The same while no task may start on an upstream before its entry is read.
+    constexpr milliseconds missing_entry_window{20};
     // A response with as many changes may be a page of more: the store returns about 500 at a time, and 3,000
     // upstreams write 1,300 a second. Waiting between such pages would leave the owner behind for good.
     constexpr std::size_t page_changes = 200;
     while (!is_over()) {
+        const auto seen = missed_entries_.get_count();
         const auto deadline = std::chrono::steady_clock::now() + milliseconds(wait_ms) + margin;
         auto changes = co_await ports_.registry.watch_upstreams(revision, wait_ms, deadline);
         bool is_listing = false;
@@ -178,11 +181,18 @@
         upstreams_changed_.notify_all();
         wake_.notify_all();
         if (!changes->changes.empty() && changes->changes.size() < page_changes) {
-            co_await wait_until(std::chrono::steady_clock::now() + batch_window);
+            const auto read_at = std::chrono::steady_clock::now();
+            const auto window = misses_entries(read_at) ? missing_entry_window : batch_window;
+            co_await missed_entries_.wait(seen, read_at + window);
         }
     }
 }
 
+bool cell_owner::misses_entries(time_point now) const {
+    std::lock_guard lock(mutex_);
+    return scheduler_.has_missing_entries(now);
+}
+
 awaitable<void> cell_owner::keep_upstream_list() {
     constexpr milliseconds normal_interval{2000};
     // What the next owner has to know of earlier ones is written soon after it changes.
@@ -273,6 +283,7 @@
             is_answer(response.result) ||
             (response.result != order_result::delayed && is_silence_conclusive(expected_at, deadline));
         bool is_ok = false;
+        bool misses_entry = false;
         {
             std::lock_guard lock(mutex_);
             const auto* upstream = scheduler_.find_upstream(id);
@@ -287,6 +298,7 @@
             if (is_ok) {
                 link_.add_poll(clock.now, estimate_bytes(order), estimate_bytes(response.report));
                 scheduler_.apply_report(id, response.report, clock);
+                misses_entry = scheduler_.take_missed_entries();
             } else if (response.result == order_result::refused_other_incarnation) {
                 scheduler_.end_incarnation(id, clock.now);
             } else if (!is_conclusive) {
@@ -307,6 +319,9 @@
         }
         wake_.notify_all();
         progress_.notify_all();
+        if (misses_entry) {
+            missed_entries_.notify_all();
+        }
         if (is_ok) {
             failure_delay = milliseconds(50);
             continue;
--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include <glog/logging.h>
@@ -13,6 +14,10 @@
 
 namespace {
 
+// How long the entry of an incarnation that has responded is awaited. Upstreams write theirs about once a
+// second.
+constexpr std::chrono::seconds max_entry_delay{5};
+
 const char* get_source_name(incarnation_source source) {
     switch (source) {
         case incarnation_source::report:
@@ -77,9 +82,18 @@
         upstream.failed_polls_after_expiry = conclusive_failed_polls;
         upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
         upstream.is_listed = true;
+        upstream.listed_boot_unix_ms = entry.boot_unix_ms;
         return;
     }
     auto& upstream = found->second;
+    const bool had_current_entry = upstream.has_current_entry();
+    upstream.listed_boot_unix_ms = std::max(upstream.listed_boot_unix_ms, entry.boot_unix_ms);
+    if (entry.boot_unix_ms != 0 && entry.boot_unix_ms < upstream.boot_unix_ms) {
+        // The entry of an earlier incarnation: that of the present one is still to come.
+        upstream.is_listed = true;
+        mark_changed(upstream);
+        return;
+    }
     // Upstreams write their entries about once a second, mostly without a change. Each change has tasks that
     // found no room sought a place there again.
     if (!upstream.is_listed || upstream.entry != entry) {
@@ -89,12 +103,31 @@
     if (entry.boot_unix_ms > upstream.boot_unix_ms && upstream.boot_unix_ms != 0) {
         begin_incarnation(upstream, entry.boot_unix_ms, incarnation_source::listing, {}, now);
     }
+    if (!had_current_entry && upstream.entry_missed_at != time_point()) {
+        record_current_entry(upstream, now);
+    }
     if (entry.is_leaving && !upstream.entry.is_leaving) {
         upstream.leaves_at = now + std::chrono::milliseconds(entry.remaining_ms);
     }
     upstream.entry = entry;
 }
 
+void cell_scheduler::record_current_entry(upstream_ledger& upstream, time_point now) {
+    mark_changed(upstream);
+    const auto missed = now - std::exchange(upstream.entry_missed_at, time_point());
+    LOG(INFO) << "event=upstream_entry_read upstream=" << upstream.entry.id.get()
+              << " boot=" << upstream.boot_unix_ms
+              << " missed_ms=" << std::chrono::duration_cast<std::chrono::milliseconds>(missed).count()
+              << " token=" << token_;
+}
+
+bool cell_scheduler::has_missing_entries(time_point now) const {
+    return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+        const auto& upstream = entry.second;
+        return !upstream.has_current_entry() && now < upstream.entry_missed_at + max_entry_delay;
+    });
+}
+
 void cell_scheduler::record_upstreams(const std::vector<upstream_entry>& entries) {
     for (const auto& entry : entries) {
         const auto found = upstreams_.find(entry.id);
@@ -229,6 +262,10 @@
     const auto foreign_calls_end = get_foreign_calls_end(upstream);
     upstream.boot_unix_ms = boot_unix_ms;
     upstream.entry.boot_unix_ms = boot_unix_ms;
+    if (!upstream.has_current_entry()) {
+        upstream.entry_missed_at = now;
+        has_missed_entries_ = true;
+    }
     upstream.applied_end = 0;
     upstream.durable_end = 0;
     upstream.clock_ms = 0;
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -154,6 +154,11 @@
     // Adds or updates an upstream that the platform lists.
     void list_upstream(const upstream_entry& entry, time_point now);
     void unlist_upstream(const upstream_id& id);
+    // Whether an upstream has restarted, by a report, of which the platform's entry has not been read yet,
+    // since the last call. No task starts there before.
+    bool take_missed_entries() { return std::exchange(has_missed_entries_, false); }
+    // Whether such an entry is still expected.
+    bool has_missing_entries(time_point now) const;
     // Confirms that these upstreams are in the stored list, so that the next owner will poll them. No task
     // starts on an upstream before.
     void record_upstreams(const std::vector<upstream_entry>& entries);
@@ -483,6 +488,8 @@
                            const std::vector<running_row>& rows, time_point now);
     bool may_be_in_next_incarnation(const upstream_ledger& upstream, const run_key& key,
                                     const run_record& run, incarnation_source source, time_point now) const;
+    // The entry of the present incarnation has been read, so that tasks may start there.
+    void record_current_entry(upstream_ledger& upstream, time_point now);
     // Has the present incarnation refuse an unanswered start of a run that the ledger does not have any more.
     void stop_late_start(upstream_ledger& upstream, const run_key& key, time_point now);
     // Whether a start order for an earlier run of the task may still be carried out by an upstream that has
@@ -760,6 +767,7 @@
     std::vector<lease_bound> lease_bounds_;
     std::optional<std::vector<foreign_lease>> foreign_leases_ = std::vector<foreign_lease>();
     bool has_freed_upstreams_ = false;
+    bool has_missed_entries_ = false;
     bool is_fenced_ = false;
     bool has_uncommitted_ends_ = false;
     std::shared_ptr<const queue_index> queues_;
--- a/src/version/cell_search.cpp
+++ b/src/version/cell_search.cpp
@@ -53,8 +53,9 @@
 }
 
 bool cell_scheduler::accepts_new_runs(const upstream_ledger& upstream, time_point now) const {
-    return !is_evacuated(upstream) && upstream.is_listed && upstream.is_recorded &&
-           !upstream.is_declared_silent && !upstream.entry.is_leaving && !upstream.health.is_blocked(now);
+    return !is_evacuated(upstream) && upstream.is_listed && upstream.has_current_entry() &&
+           upstream.is_recorded && !upstream.is_declared_silent && !upstream.entry.is_leaving &&
+           !upstream.health.is_blocked(now);
 }
 
 bool cell_scheduler::is_usable(const upstream_ledger& upstream, time_point now) const {
--- a/tests/cell_fixture.cpp
+++ b/tests/cell_fixture.cpp
@@ -107,7 +107,7 @@
     clock->advance(time_step);
     upstreams.advance();
     const auto now = clock->get_now();
-    for (const auto& entry : entries) {
+    for (auto& entry : entries) {
         if (!is_polling || now < next_poll_[entry.id] || scheduler->find_upstream(entry.id) == nullptr) {
             continue;
         }
@@ -117,6 +117,7 @@
         const auto response = upstreams.poll_now(entry.address, poll, token);
         if (response.result == order_result::accepted) {
             scheduler->apply_report(entry.id, response.report, read_clock());
+            register_restart(entry, response.report);
         } else {
             scheduler->record_unanswered_poll(entry.id, now);
             scheduler->mark_unresponsive(entry.id, now);
@@ -141,6 +142,13 @@
     commit();
 }
 
+void cell_fixture::register_restart(upstream_entry& entry, const upstream_report& report) {
+    if (registers_restarts && report.boot_unix_ms > entry.boot_unix_ms) {
+        entry.boot_unix_ms = report.boot_unix_ms;
+        scheduler->list_upstream(entry, clock->get_now());
+    }
+}
+
 void cell_fixture::read_evacuations() {
     if (limits.evacuation_bound == std::chrono::milliseconds(0) || !is_store_readable) {
         return;
@@ -218,7 +226,7 @@
     history.record_owner(token, std::to_string(token), std::string(), clock->get_now());
 }
 
-void cell_fixture::take_over(bool has_upstream_list) {
+void cell_fixture::begin_takeover() {
     ++token;
     held_orders_.clear();
     scheduler = std::make_unique<cell_scheduler>(limits, token, clock->get_now());
@@ -237,11 +245,23 @@
                            found == committed.end() ? nullptr : &found->second, true, read_clock());
     }
     scheduler->set_inherited_locations(locations, has_complete_locations);
+}
+
+void cell_fixture::take_over_from_list() {
+    begin_takeover();
+    for (const auto& entry : entries) {
+        const auto known = silent.find(entry.id);
+        scheduler->expect_upstream(entry, known == silent.end() ? token - 1 : known->second);
+    }
+}
+
+void cell_fixture::take_over(bool has_upstream_list) {
+    if (has_upstream_list) {
+        take_over_from_list();
+    } else {
+        begin_takeover();
+    }
     for (const auto& entry : entries) {
-        if (has_upstream_list) {
-            const auto known = silent.find(entry.id);
-            scheduler->expect_upstream(entry, known == silent.end() ? token - 1 : known->second);
-        }
         scheduler->list_upstream(entry, clock->get_now());
     }
 }
--- a/tests/cell_fixture.hpp
+++ b/tests/cell_fixture.hpp
@@ -33,6 +33,8 @@
     // Replaces the owner by one with a higher fencing token and the progress committed so far. It has the
     // stored list of upstreams unless has_upstream_list is false.
     void take_over(bool has_upstream_list = true);
+    // The same, before the next owner has read the platform's list.
+    void take_over_from_list();
     void add_upstream(const std::string& id, resource_vector capacity = {16000, 64000, 0, 0});
     // Lists an upstream again that is not listed.
     void list_upstream(const upstream_id& id);
@@ -53,6 +55,9 @@
     bool delays_commits = false;
     bool may_start = true;
     bool is_polling = true;
+    // Whether the platform lists an upstream that has restarted, without a change, as soon as a report shows
+    // the new incarnation.
+    bool registers_restarts = true;
     // With limits.evacuation_bound: the failure domains that are evacuated in the store, and whether the
     // store can be read.
     std::set<failure_domain_id> evacuated;
@@ -86,7 +91,9 @@
         time_point responds_at;
     };
 
+    void begin_takeover();
     void step();
+    void register_restart(upstream_entry& entry, const upstream_report& report);
     void read_evacuations();
     void send(const upstream_order& order);
     void apply_held_orders();
--- a/tests/lasting_task_test.cpp
+++ b/tests/lasting_task_test.cpp
@@ -215,6 +215,9 @@
     const auto busy = find_busy_upstream(cell);
     BOOST_REQUIRE(cell.upstreams.count_running(busy) == 1U);
     const auto starts = cell.upstreams.get_start_count();
+    for (auto& entry : cell.entries) {
+        entry.boot_unix_ms = 1;
+    }
     cell.take_over();
     while (!cell.scheduler->find_upstream(busy)->has_responded) {
         cell.run_for(milliseconds(20));
