Give long and restored runs time before they count as stalled

Callers would see: a sound task of over 300 s, or one whose upstream needs more than 3 s to restore it, is stopped and started elsewhere again and again, and never ends.

Cause: a run without progress for a fixed 3 s was stopped, though progress comes in whole percent of a work whose length is estimated, and RestoreMs says how long a restored run stands still.

Change: the limit is the estimated time for three percent of the work, 3 s at least, and RestoreMs more for a run that has a checkpoint or was adopted.

Measured: keeps_long_runs_and_restored_runs_that_show_no_progress_yet fails on the commit before (10 starts in place of one, 8 in place of two within 30 s); cell_scheduler, cell_takeover and cell_restart pass.

--- a/src/version/cell_runs.cpp
+++ b/src/version/cell_runs.cpp
@@ -1,5 +1,6 @@
 // Periodic upkeep of runs and of the orders for them; see cell_scheduler.hpp.
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -13,8 +14,11 @@
 
 constexpr std::chrono::milliseconds maintenance_interval{40};
 // A run that reports no progress for this long, by the clock of its upstream, is stopped and started on
-// another upstream. Time in which this process read no report says nothing about the run.
-constexpr std::chrono::milliseconds stall_timeout{3000};
+// another upstream. Time in which this process read no report says nothing about the run. Progress is in
+// whole percent, so a long task is given the time for several of them.
+constexpr std::chrono::milliseconds min_stall_timeout{3000};
+constexpr std::int64_t stall_percent = 3;
+constexpr std::int64_t full_percent = 100;
 // Runs with a lower CPU limit are exempt from stall detection, since their progress may be too slow to see.
 constexpr std::int32_t min_progress_cpu_limit_percent = 50;
 // Runs with checkpoints on a leaving upstream are stopped this long before it is removed, so that their
@@ -162,18 +166,24 @@
         make_start(upstream, job, key.first, key.second, ticket == nullptr ? std::string() : *ticket, now));
 }
 
+std::chrono::milliseconds cell_scheduler::get_stall_timeout(const step_spec& spec,
+                                                            const run_record& run) const {
+    const std::chrono::milliseconds progress_time(spec.estimated_ms * stall_percent / full_percent);
+    return std::max(min_stall_timeout, progress_time) +
+           (run.is_fresh ? std::chrono::milliseconds(0) : limits_.restore_time);
+}
+
 void cell_scheduler::stop_stalled_runs(upstream_ledger& upstream, time_point now) {
     for (auto& [key, run] : upstream.runs) {
         const bool is_started_up = run.is_long_running && run.percent >= 100;
-        const bool is_stalled = run.phase == run_phase::running && !is_started_up && run.percent >= 0 &&
-                                run.cpu_limit_percent >= min_progress_cpu_limit_percent &&
-                                upstream.clock_ms - run.percent_changed_clock_ms > stall_timeout.count();
-        if (!is_stalled) {
-            continue;
-        }
-        auto* job = find_job(key.first.job);
+        const auto unchanged_ms = upstream.clock_ms - run.percent_changed_clock_ms;
+        const bool may_be_stalled = run.phase == run_phase::running && !is_started_up && run.percent >= 0 &&
+                                    run.cpu_limit_percent >= min_progress_cpu_limit_percent &&
+                                    unchanged_ms > min_stall_timeout.count();
+        auto* job = may_be_stalled ? find_job(key.first.job) : nullptr;
         auto* task = job == nullptr ? nullptr : job->find_task(key.first);
-        if (task == nullptr) {
+        if (task == nullptr ||
+            unchanged_ms <= get_stall_timeout(job->job->spec.steps[key.first.step], run).count()) {
             continue;
         }
         record_failure(upstream, key.first.job, !task->avoided.empty(), run.started_at, now);
--- a/src/version/cell_scheduler.hpp
+++ b/src/version/cell_scheduler.hpp
@@ -636,6 +636,8 @@
     void send_start(upstream_ledger& upstream, const run_key& key, run_record& run, time_point now,
                     std::vector<upstream_order>& orders);
     void stop_stalled_runs(upstream_ledger& upstream, time_point now);
+    // Returns how long a run of the step may report no progress.
+    std::chrono::milliseconds get_stall_timeout(const step_spec& spec, const run_record& run) const;
     void move_runs_from_leaving(upstream_ledger& upstream, time_point now);
 
     // Evacuations of failure domains (cell_evacuations.cpp)
--- a/tests/cell_scheduler_test.cpp
+++ b/tests/cell_scheduler_test.cpp
@@ -192,6 +192,27 @@
     check_no_violations(cell);
 }
 
+// Guards against sound runs that are stopped as stalled since a percent of their work takes longer than a
+// fixed limit, or since they are still being restored from their checkpoint.
+BOOST_AUTO_TEST_CASE(keeps_long_runs_and_restored_runs_that_show_no_progress_yet) {
+    constexpr std::int64_t slow_work_ms = 400000;
+    cell_fixture cell(1);
+    auto step = cell_fixture::make_step(1);
+    step.estimated_ms = slow_work_ms;
+    cell.add_job("long", cell_fixture::make_job({step}), slow_work_ms);
+    cell.run_for(seconds(30));
+    BOOST_TEST(cell.upstreams.get_start_count() == 1U);
+
+    cell_limits limits;
+    limits.restore_time = seconds(5);
+    cell_fixture restored(1, {16000, 64000, 0, 0}, limits);
+    auto saved_step = cell_fixture::make_step(1);
+    saved_step.saves_checkpoints = true;
+    restored.add_job("saved", cell_fixture::make_job({saved_step}), slow_work_ms);
+    restored.run_for(seconds(30));
+    BOOST_TEST(restored.upstreams.get_start_count() == 2U);
+}
+
 // Guards against sound runs that are stopped as stalled: this process did not read their progress for longer
 // than the stall timeout.
 BOOST_AUTO_TEST_CASE(keeps_runs_whose_progress_was_not_read) {
