Bound the wait for a late answer of the advice service

Cause: read in the change itself: a call whose connection has gone silent was held until the tickets of an answer would have run out, so a queue with a long ValidMs would wait for minutes before the step is asked about again. Measured: cell_advice and cell_member pass.

--- a/src/request/cell_owner.cpp
+++ b/src/request/cell_owner.cpp
@@ -484,9 +484,11 @@
 }
 
 awaitable<void> cell_owner::fetch_advice(advice_request request) {
-    // A late answer is used as long as its tickets would be.
-    const auto deadline =
-        std::max(request.useful_until, request.expected_at + get_call_timeout(min_order_timeout));
+    // A late answer is used as long as its tickets would be, but a call that was lost must not hold up the
+    // step for so long.
+    constexpr milliseconds max_lateness{3000};
+    const auto useful_until = std::min(request.useful_until, request.expected_at + max_lateness);
+    const auto deadline = std::max(useful_until, request.expected_at + get_call_timeout(min_order_timeout));
     const auto response = co_await ports_.upstreams.advise(request, deadline);
     const auto now = std::chrono::steady_clock::now();
     LOG(INFO) << "event=advice step=" << request.step.to_string() << " asked=" << request.upstreams.size()
