Do not suspect a start that never arrived of a crash

Cause: read in the change itself: the record that stands for an unanswered start while the new incarnation is told to refuse it counted as a run that had just begun, so a second restart would have counted a crash under its task. A test that was tried for it passed without the change as well, so it shows nothing and was not kept. Change: the record has no start time, as that of a run that has survived its start. Measured: cell_restart passes.

--- a/src/version/cell_incarnations.cpp
+++ b/src/version/cell_incarnations.cpp
@@ -188,7 +188,6 @@
     auto run = make_found_run(task == nullptr ? nullptr : job, key.first);
     run.has_unknown_start = true;
     run.is_incarnation_unknown = true;
-    run.started_at = now;
     restart_stop(upstream, run, now);
     upstream.add_run(key.first, key.second, run);
     // A run of the task elsewhere began before the restart, so it is not waited for.
